--- /dev/null
+++ b/src/main/java/mastdrift/Balance.java
@@ -0,0 +1,924 @@
+package mastdrift;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import mastdrift.State.Attempt;
+import mastdrift.State.Held;
+import mastdrift.State.Pool;
+import mastdrift.State.Server;
+import mastdrift.State.Session;
+
+/**
+ * Headroom split: every decision of one gateway. Its interface, types and units are in Balancer.java;
+ * docs/design.md says what follows Bartolini et al. and where and when this departs from it.
+ */
+public final class Balance implements Balancer {
+
+    // Spans in microseconds.
+    private static final long REFRESH = 500_000;        // T_obs: troubles last seconds, so must the shares
+    private static final long WINDOW = 10_000_000;      // T: samples older than most troubles mislead
+    private static final long KEY_MEMORY = 30_000_000;  // a key unseen for this long is a new session
+    private static final long REPORT_FRESH = 1_000_000; // a queue reported earlier than this says nothing
+    private static final long DOWN_AFTER = 1_000_000;   // no answer for this long makes a refusal a sign
+    private static final int SILENT = 3;                // attempts with no answer for so long: it is silent
+    private static final long SUSPECT_SPAN = 6_000_000; // by then the registry has told of a restart
+    // Counts and ratios.
+    private static final int SAMPLES = 32;              // kept a server: enough for a 95th percentile
+    private static final double PRIOR = 60;             // samples that hold three above a 95th percentile
+    private static final double FAILING = 0.05;         // failures beyond a twentieth: p95 is unbounded
+    private static final double FAR = 2;                // times the fleet's failures: a failure of its own
+    private static final double UNBOUNDED = 1e6;        // in usual latencies: beyond any real one
+    private static final double LOWEST = 0.1;           // quantile that stands for r~: no one server decides
+    private static final double RISE = 0.1;             // share regained a refresh: a way back, no flood
+    private static final double T_AC = 1.0;             // lateness at which refusals begin
+    private static final double T_FULL = 1.6;           // lateness at which every new session is refused
+    private static final long SERVED_SPAN = 2_000_000;  // admission looks at what was served just now
+    private static final long SERVED_MOST = 8_000_000;  // or, where requests are few, in up to this time
+    private static final int SERVED = 256;              // served latencies kept for admission
+    private static final double LOST = 2;               // lateness of what came to nothing
+    private static final double SERVED_FEW = 20;        // fewer than this carry no 95th percentile
+    private static final double SERVED_LEAST = 8;       // but a quiet gateway can't wait for so many
+    private static final double MANY = 0.2;             // of the servers known full: no few bad ones
+    private static final double QUEUE_AC = 0.15;        // of the tightest aim: such a queue starts refusals
+    private static final double QUEUE_FULL = 0.5;       // of the tightest aim: little more would be in time
+    private static final double OVER = 10;              // times the pressure: refusals beyond a share
+    private static final double BURST = 6;              // requests a tenant may save up at any size
+    private static final int LEAST_OF = 4;              // answers whose shortest shows the queue
+    private static final double BOUND = 1.25;           // of the mean burden: what one server may hold
+    private static final double CROWD = 1.25;           // of its part of what was sent lately: likewise
+    private static final double STICKY = 1.3;           // a warm key saves work, so it gets more
+    private static final double HISTORY = 4;            // sends a server that count as lately
+    private static final int CANDIDATES = 6;            // draws within S* before the least burdened is taken
+    private static final int PLACES = 4096;             // of the table: enough for even parts of 500 servers
+    private static final int DRAWS = 64;                // draws in all, a bound on the work a request costs
+    private static final double RETRY_SHARE = 0.1;      // retry budget: of the requests that came in
+    private static final double PROBE_SHARE = 0.02;     // probe budget: likewise
+    private static final double BUDGET_MOST = 20;       // what an unused budget may save up
+    private static final int KEYS_MOST = 50_000;        // remembered keys, a bound on memory
+    private static final double CREDIT = 0.8;           // part of that for cold hosts: their keys cost more
+    private static final double EWMA = 0.2;             // weight of the newest refresh in send rates
+    private static final double USUAL = 0.01;           // weight of one sample in a class's usual latency
+    private static final double IDLE_KEEP = 0.9;        // of what idle connections told before
+    private static final double USUAL_CPU = 0.1;        // weight of one report in its kind's use of cores
+    private static final double AWAY = 0.3;             // of a share, in another zone
+    private static final double EVEN = 0.2;             // part of the way to even use that a refresh goes
+    private static final double UNEVEN = 8;             // kinds differ by no more than this
+    private static final String TIMER = "refresh";
+
+    /** A tenant's share at this gateway. Only what is admitted draws on it: clients whose requests are
+        refused try again, and their tries must not make a quiet tenant look greedy. */
+    private static final class Share {
+        private final double perSecond;
+        private double left;
+        private long at;
+
+        Share(double perSecond, long now) {
+            this.perSecond = perSecond;
+            left = Math.max(perSecond, BURST);
+            at = now;
+        }
+
+        boolean holds(long now) {
+            left = Math.min(Math.max(perSecond, BURST), left + perSecond * (now - at) / 1e6);
+            at = now;
+            return left >= 1;
+        }
+    }
+
+    private Settings settings;
+    private Actions actions;
+    private SplittableRandom random;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Share> tenants = new HashMap<>();
+    private double[] usual;
+    private double mostWorth;
+    private boolean weighted;
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final Map<String, Pool> kinds = new LinkedHashMap<>();
+    private Server[] table = new Server[0];
+    private double shareSum;
+    private double shareMost;
+    private double queueSum;
+    private int outSum;
+    private double recentSum;
+    private double fleetPressure;
+    private boolean manyFull;
+    private double theta = UNBOUNDED;
+    private double aimUsual = UNBOUNDED;
+    private double fleetFailing;
+    private final Map<Long, Held> held = new LinkedHashMap<>();
+    private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
+    private final long[] servedAt = new long[SERVED];
+    private final double[] served = new double[SERVED];
+    private int servedCount;
+    private int arrived;
+    private double few = SERVED_LEAST;
+    private long tightestAim = Long.MAX_VALUE;
+    private double retryBudget = BUDGET_MOST / 2;
+    private double probeBudget;
+    private long refreshedAt;
+    private long askAt = Long.MAX_VALUE;
+    private int askFailures;
+    private final double[] idleLost = new double[64];
+    private final double[] idleSeen = new double[64];
+    private long idleLimit = Long.MAX_VALUE;
+    private long idleUntil;
+
+    // ---- events
+
+    @Override
+    public void start(long now, Settings given, Actions asked) {
+        check(given);
+        settings = given;
+        actions = asked;
+        random = new SplittableRandom(given.seed());
+        usual = new double[given.classes().size()];
+        for (RequestClass type : given.classes()) {
+            usual[classes.size()] = type.aim() / 4.0;
+            classes.put(type.name(), classes.size());
+            mostWorth = Math.max(mostWorth, type.worth());
+            tightestAim = Math.min(tightestAim, type.aim());
+        }
+        for (Tenant tenant : given.tenants()) {
+            tenants.put(tenant.name(), new Share(tenant.quotaPerSecond() / given.site().gateways(), now));
+        }
+        refreshedAt = now;
+        actions.timer(now + 1 + random.nextLong(REFRESH), TIMER);
+        weighted = given.weights() == Weights.NOMINAL || given.weights() == Weights.ROUGH;
+        if (given.registryOnRequest()) {
+            askAt = now + random.nextLong(given.rules().mustAskIn() / 4 + 1);
+        }
+    }
+
+    private static void check(Settings given) {
+        require(given.classes().size(), "classes");
+        for (RequestClass type : given.classes()) {
+            require(type.aim(), type.name() + " aim");
+            require(type.deadline(), type.name() + " deadline");
+        }
+        require(given.site().gateways(), "gateways");
+        require(given.limits().maxAttempts(), "max attempts");
+        require(given.rules().coldFrom(), "cold from");
+        require(given.rules().fallMultiple(), "fall multiple");
+    }
+
+    private static void require(double value, String name) {
+        if (!(value > 0)) {
+            throw new IllegalArgumentException(name + " can't be " + value);
+        }
+    }
+
+    @Override
+    public void request(long now, Request request) {
+        Integer cls = classes.get(request.className());
+        if (cls == null || held.containsKey(request.id())) {
+            throw new IllegalArgumentException("unknown class or repeated id: " + request);
+        }
+        long key = request.key() == null ? random.nextLong() : request.key();
+        Held req = new Held(request, settings.classes().get(cls), cls, key, now);
+        held.put(req.id, req);
+        arrived++;
+        retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
+        probeBudget = Math.min(BUDGET_MOST, probeBudget + PROBE_SHARE);
+        Session session = req.keyed ? sessions.get(key) : null;
+        Server server = session == null ? null : stick(now, req, session);
+        server = server == null ? draw(now, req) : server;
+        boolean refused = server == null || refuses(now, req, request.tenant(), session != null, server);
+        place(now, req, refused ? null : server);
+    }
+
+    private void place(long now, Held req, Server server) {
+        if (server == null || !send(now, req, server)) {
+            answer(req);
+        } else if (req.keyed) {
+            sessions.put(req.key, new Session(server, now));
+        }
+    }
+
+    @Override
+    public void streaming(long now, long id, int attempt) {
+        if (held.containsKey(id)) {
+            held.get(id).streaming = true;
+        }
+    }
+
+    @Override
+    public void resolved(long now, long id, int number, String address, Outcome outcome, long elapsed,
+            boolean over, LoadReport report) {
+        Held req = held.get(id);
+        learnReport(now, servers.get(address), report);
+        boolean known = req != null && number >= 0 && number < req.attempts.size();
+        Attempt attempt = known ? req.attempts.get(number) : null;
+        if (attempt == null || !attempt.out) {
+            return;  // late or repeated: counted once, or the sums of what is out drift
+        }
+        settle(now, req, attempt, outcome, elapsed);
+        if (counts(now, attempt.server) && outcome != Outcome.REVOKED && outcome != Outcome.UNUSED) {
+            servedAt[servedCount % SERVED] = now;
+            served[servedCount++ % SERVED] = outcome == Outcome.DELIVERED ? lateness(now, req) : LOST;
+        }
+        if (over) {
+            end(req);
+        } else if (req.attempts.stream().noneMatch(a -> a.out)) {
+            retry(now, req);
+        }
+    }
+
+    @Override
+    public void departed(long now, long id) {
+        if (held.containsKey(id)) {
+            end(held.get(id));
+        }
+    }
+
+    @Override
+    public void timer(long now, String handle) {
+        if (handle.equals(TIMER)) {
+            refresh(now);
+            if (now >= askAt) {
+                askAt = Long.MAX_VALUE;
+                actions.watch(true);
+            }
+            probeSome();
+            actions.timer(now + REFRESH, TIMER);
+        }
+    }
+
+    // ---- server estimate: resp_time(s)
+
+    private void settle(long now, Held req, Attempt attempt, Outcome outcome, long elapsed) {
+        Server server = attempt.server;
+        attempt.out = false;
+        attempt.neverRan = outcome.neverRan();
+        server.out.remove(attempt);
+        outSum--;
+        if (outcome == Outcome.DELIVERED || outcome == Outcome.DROPPED || outcome == Outcome.EXPIRED) {
+            learnIdle(now, attempt, outcome != Outcome.DELIVERED);
+        }
+        if (outcome == Outcome.SHED || outcome == Outcome.DIAL_FAILED) {
+            setWait(now, server, tightestAim);
+        } else if (outcome == Outcome.DELIVERED || outcome == Outcome.EXPIRED) {
+            learnWait(now, server, elapsed);
+        }
+        switch (outcome) {
+            case DELIVERED -> {
+                server.usedAt = now;
+                usual[req.cls] += USUAL * (elapsed - usual[req.cls]);
+                server.delivered++;
+                server.overtook = Math.max(server.overtook, attempt.sentAt - elapsed);
+                answered(now, server);
+                learn(now, server, elapsed / usual[req.cls]);
+            }
+            case REVOKED, UNUSED -> { }
+            default -> failed(now, server, outcome);
+        }
+    }
+
+    private void failed(long now, Server server, Outcome outcome) {
+        if (outcome == Outcome.ERROR || outcome == Outcome.SHED) {
+            answered(now, server);
+        } else if (outcome == Outcome.DIAL_FAILED && now - server.answeredAt > DOWN_AFTER) {
+            markDown(now, server);
+        }
+        learn(now, server, UNBOUNDED);
+        measure(now, server);
+        estimate(server);
+        server.share = Math.min(server.share, target(now, server));
+    }
+
+    /** Once half of a zone is down, so is what has been silent there as long: a zone cut off or lost should
+        not cost a request for each of its servers. */
+    private void markDown(long now, Server server) {
+        server.down = true;
+        String name = server.host.zone();
+        List<Server> zone = servers.values().stream().filter(s -> s.host.zone().equals(name)).toList();
+        if (2 * zone.stream().filter(s -> s.down).count() > zone.size()) {
+            zone.stream().filter(s -> now - s.answeredAt > DOWN_AFTER).forEach(s -> s.down = true);
+        }
+        zone.stream().filter(s -> s.down).forEach(s -> s.share = 0);
+    }
+
+    /** A server that was silent may have restarted before the registry knows: it comes back as if cold. */
+    private void answered(long now, Server server) {
+        server.answeredAt = now;
+        server.unanswered = 0;
+        if (server.down) {
+            server.down = false;
+            chill(now, server, now, SUSPECT_SPAN);
+        }
+    }
+
+    private void learn(long now, Server server, double value) {
+        int at = server.samples++ % SAMPLES;
+        server.sampleAt[at] = now;
+        server.sample[at] = value;
+    }
+
+    private static void learnReport(long now, Server server, LoadReport report) {
+        if (server != null && !Double.isNaN(report.cpu()) && server.coldSince == 0) {
+            Pool kind = server.kind;
+            kind.cpu += (kind.reports++ == 0 ? 1 : USUAL_CPU) * (report.cpu() - kind.cpu);
+        }
+        if (server != null && !Double.isNaN(report.waiting())) {
+            server.queue = report.waiting();
+            server.queueAt = now;
+        }
+    }
+
+    /** The server's own window; attempts still out count as at least their age, so a freeze shows early. */
+    private void measure(long now, Server server) {
+        double[] values = new double[SAMPLES + server.out.size()];
+        int count = 0;
+        int failures = 0;
+        for (int i = 0; i < Math.min(SAMPLES, server.samples); i++) {
+            if (now - server.sampleAt[i] > WINDOW) {
+                continue;
+            }
+            if (server.sample[i] >= UNBOUNDED) {
+                failures++;
+            } else {
+                values[count++] = server.sample[i];
+            }
+        }
+        for (Attempt attempt : server.out) {
+            double age = (now - attempt.sentAt) / usual[attempt.cls];
+            if (age > server.respTime) {
+                values[count++] = age;
+            }
+        }
+        Arrays.sort(values, 0, count);
+        server.ownP95 = count == 0 ? 0 : values[(int) Math.ceil(0.95 * count) - 1];
+        server.ownCount = count;
+        server.ownFailures = failures;
+    }
+
+    /** Blends the own window with that of the kind, the fewer samples the more. */
+    private void estimate(Server server) {
+        int n = server.ownCount;
+        Pool kind = server.kind;
+        double peers = kind.samples == 0 ? 1 : kind.latency / kind.samples;
+        double finite = (n * server.ownP95 + PRIOR * (peers + (n == 0 ? server.probeTrip : 0))) / (n + PRIOR);
+        server.respTime = failing(server) ? UNBOUNDED : finite;
+        server.serving = (n + PRIOR) / (n + server.ownFailures + PRIOR);
+    }
+
+    /** Over a twentieth of attempts, and beyond what chance makes of that. Where the whole fleet fails more,
+        as in an overload, the bar goes with it: emptying S* would crush the few servers left in it. */
+    private boolean failing(Server server) {
+        double expected = Math.max(FAILING, FAR * fleetFailing) * (server.ownCount + server.ownFailures);
+        return server.ownFailures - 1 > expected + Math.sqrt(expected);
+    }
+
+    // ---- shares and S*
+
+    private void refresh(long now) {
+        double span = Math.max(1, now - refreshedAt) / 1e6;
+        refreshedAt = now;
+        few += EWMA * (Math.max(SERVED_LEAST, Math.min(SERVED_FEW, arrived)) - few);
+        arrived = 0;
+        kinds.values().forEach(Pool::clear);
+        for (Server server : servers.values()) {
+            if (server.unanswered >= SILENT && now - server.unansweredSince > DOWN_AFTER && !server.down) {
+                markDown(now, server);
+            }
+            measure(now, server);
+            long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook).findFirst()
+                    .map(a -> now - a.sentAt).orElse(0L);
+            if (oldest > waiting(now, server)) {
+                setWait(now, server, oldest);
+            }
+            server.kind.latency += server.ownCount * server.ownP95;
+            server.kind.samples += server.ownCount;
+            if (server.coldSince == 0 && server.host.health() == Health.UP) {
+                server.kind.warm++;
+                server.kind.delivered += server.delivered;
+            }
+            server.delivered = 0;
+        }
+        for (Pool kind : kinds.values()) {
+            double rate = kind.warm == 0 ? 0 : kind.delivered / kind.warm / span;
+            double weight = rate > kind.rate ? EWMA : REFRESH / (double) settings.rules().warmWithin();
+            kind.rate += kind.warm == 0 ? 0 : weight * (rate - kind.rate);
+        }
+        if (now > idleUntil) {
+            idleLimit = Long.MAX_VALUE;
+        }
+        fleetFailing = medianFailing();
+        sizeKinds();
+        servers.values().forEach(this::estimate);
+        setThreshold();
+        double fade = Math.min(1, HISTORY * servers.size() / Math.max(1, recentSum));
+        recentSum = 0;
+        shareSum = 0;
+        shareMost = 0;
+        queueSum = 0;
+        for (Server server : servers.values()) {
+            double target = target(now, server);
+            server.share = Math.min(target, server.share + RISE);
+            server.inSet = target > 0;
+            shareSum += server.share;
+            shareMost = Math.max(shareMost, server.share);
+            queueSum += queue(now, server);
+            server.recent *= fade;
+            recentSum += server.recent;
+        }
+        long known = servers.values().stream().filter(s -> s.ownCount + s.ownFailures > 0).count();
+        manyFull = servers.values().stream().filter(s -> full(now, s)).count() > MANY * known;
+        setPressure(now);
+        forget(now);
+    }
+
+    /** Where reports tell how busy cores are and no weight tells sizes, kinds are given more or less until
+        all are alike busy: at full size no gateway sees enough of one server, but soon enough of a kind. */
+    private void sizeKinds() {
+        double mean = kinds.values().stream().filter(k -> k.reports > 0).mapToDouble(k -> k.cpu)
+                .average().orElse(0);
+        for (Pool kind : kinds.values()) {
+            if (kind.reports > 0 && mean > 0) {
+                double turn = Math.pow(mean / Math.max(kind.cpu, mean / UNEVEN), EVEN);
+                kind.size = Math.max(1 / UNEVEN, Math.min(UNEVEN, kind.size * turn));
+            }
+        }
+    }
+
+    private double medianFailing() {
+        double[] parts = servers.values().stream().filter(s -> !s.down && s.ownCount + s.ownFailures > 0)
+                .mapToDouble(s -> (double) s.ownFailures / (s.ownCount + s.ownFailures)).sorted().toArray();
+        return parts.length == 0 ? 0 : parts[parts.length / 2];
+    }
+
+    /** theta = k * T_SS with k = ceil(r~ / T_SS). T_SS is the tightest deadline, the upper end of what the
+        design allows: S* holds every server that still answers in time, and shares of sound ones don't follow
+        the noise of a 95th percentile, which would move keys away from the servers that have them warm. */
+    private void setThreshold() {
+        double[] times = servers.values().stream().filter(s -> !s.down && s.host.health() == Health.UP)
+                .mapToDouble(s -> s.respTime).sorted().toArray();
+        if (times.length == 0) {
+            return;
+        }
+        double tss = UNBOUNDED;
+        aimUsual = UNBOUNDED;
+        for (int i = 0; i < usual.length; i++) {
+            tss = Math.min(tss, settings.classes().get(i).deadline() / usual[i]);
+            aimUsual = Math.min(aimUsual, settings.classes().get(i).aim() / usual[i]);
+        }
+        theta = tss * Math.ceil(times[(int) (LOWEST * times.length)] * 1.01 / tss);
+    }
+
+    /** (theta - resp_time(s)) / theta, no more than the capacity there is while cold, in the part in which it
+        serves (failures leave no latencies), and less in another zone: crossing costs time and points. */
+    private double target(long now, Server server) {
+        if (server.down || server.host.health() != Health.UP || server.respTime > theta) {
+            return 0;
+        }
+        double near = server.host.zone().equals(settings.site().zone()) ? 1 : AWAY;
+        double size = near * server.kind.size * (weighted ? server.host.weight() : 1);
+        return (theta - server.respTime) / theta * size * warmth(now, server) * server.serving;
+    }
+
+    private double queue(long now, Server server) {
+        return now - server.queueAt < REPORT_FRESH ? server.queue : 0;
+    }
+
+    // ---- draw and stickiness
+
+    /** Gateways that agree on the shares draw the same server for a key, since the key seeds the draw. */
+    private Server draw(long now, Held req) {
+        Server least = null;
+        double leastBurden = Double.MAX_VALUE;
+        int found = 0;
+        for (int i = 0; i < DRAWS && found < CANDIDATES && table.length > 0; i++) {
+            long hash = mix(req.key + i * 0x9E3779B97F4A7C15L);
+            Server server = table[(int) hash & (table.length - 1)];
+            if ((mix(hash) >>> 11) * 0x1.0p-53 * shareMost >= server.share || !maySend(now, req, server)) {
+                continue;
+            }
+            found++;
+            double burden = burden(now, server);
+            if (burden <= 1) {
+                return server;
+            }
+            if (burden < leastBurden) {
+                least = server;
+                leastBurden = burden;
+            }
+        }
+        return least;
+    }
+
+    /** What a server holds with one more, against its part by share of what all hold; small counts pass.
+        Of many gateways none holds much, so what it was sent lately is weighed alike: a popular key is
+        spread over the servers next in its order at every gateway, though none sees a crowd. */
+    private double burden(long now, Server server) {
+        double holds = server.out.size() + queue(now, server) + 1;
+        double part = server.share / Math.max(shareSum, 1e-9);
+        double crowd = (server.recent + 1) / (recentSum * part + 1);
+        double burden = holds <= 2 ? holds / 2 : holds / Math.max((outSum + queueSum + 1) * part, 1);
+        return Math.max(crowd / CROWD, burden / BOUND);
+    }
+
+    private Server stick(long now, Held req, Session session) {
+        Server server = session.server();
+        boolean fits = server.inSet && !server.down && maySend(now, req, server);
+        return fits && burden(now, server) <= STICKY ? server : null;
+    }
+
+    private void forget(long now) {
+        Iterator<Session> eldest = sessions.values().iterator();
+        while (eldest.hasNext()) {
+            if (now - eldest.next().at() < KEY_MEMORY && sessions.size() <= KEYS_MOST) {
+                return;
+            }
+            eldest.remove();
+        }
+    }
+
+    /** Gives every server as many places as the next, taken in turn in an order of its own: the same at every
+        gateway whatever the order of its list, and a server that comes or goes moves few places of others. */
+    private void seat() {
+        Server[] order = servers.values().toArray(new Server[0]);
+        Arrays.sort(order, Comparator.comparing(server -> server.host.address()));
+        int size = PLACES;
+        while (size < 8 * order.length) {
+            size *= 8;
+        }
+        table = new Server[order.length == 0 ? 0 : size];
+        long[] next = new long[order.length];
+        for (int taken = 0; taken < table.length; taken++) {
+            int turn = taken % order.length;
+            long own = mix(order[turn].host.address().hashCode() + 0x9E3779B97F4A7C15L);
+            int place;
+            do {
+                place = (int) (own + next[turn]++ * (own >>> 32 | 1)) & size - 1;
+            } while (table[place] != null);
+            table[place] = order[turn];
+        }
+    }
+
+    private static long mix(long value) {
+        long z = (value ^ value >>> 30) * 0xBF58476D1CE4E5B9L;
+        z = (z ^ z >>> 27) * 0x94D049BB133111EBL;
+        return z ^ z >>> 31;
+    }
+
+    // ---- admission
+
+    /** The design's figure: the 95th percentile of what S* served just now. Where few servers are full by
+        their own queue, without those: a tenth would have all refuse. What waits late and isn't overtaken
+        counts as served; what failed does only once half of all is late or lost: then nothing is served. */
+    private void setPressure(long now) {
+        int kept = Math.min(SERVED, servedCount);
+        double[] values = new double[kept + held.size()];
+        double[] all = new double[kept + held.size()];
+        int count = 0;
+        int total = 0;
+        for (int i = servedCount - 1; i >= servedCount - kept; i--) {
+            long age = now - servedAt[i % SERVED];
+            if (age >= SERVED_SPAN && (total >= few || age >= SERVED_MOST)) {
+                break;
+            }
+            all[total++] = served[i % SERVED];
+            if (served[i % SERVED] < LOST) {
+                values[count++] = served[i % SERVED];
+            }
+        }
+        for (Held req : held.values()) {
+            Attempt attempt = req.attempts.get(req.attempts.size() - 1);
+            if (now - req.since > req.type.aim() && counts(now, attempt.server)) {
+                all[total++] = lateness(now, req);
+                if (attempt.sentAt > attempt.server.overtook) {
+                    values[count++] = lateness(now, req);
+                }
+            }
+        }
+        double late = Math.max(quantile(values, count, 0.95), quantile(all, total, 0.5));
+        fleetPressure = Math.max(0, Math.min(1, (late - T_AC) / (T_FULL - T_AC)));
+    }
+
+    private double quantile(double[] values, int count, double part) {
+        Arrays.sort(values, 0, count);
+        return count < few ? 0 : values[Math.min(count - 2, (int) Math.ceil(part * count) - 1)];
+    }
+
+    /** Up to the aim its part of that, then 1 plus the part of the way on to the deadline. */
+    private static double lateness(long now, Held req) {
+        double waited = now - req.since;
+        long aim = req.type.aim();
+        return waited <= aim ? waited / aim : 1 + (waited - aim) / Math.max(1, req.type.deadline() - aim);
+    }
+
+    /** How far a server's queue fills the tightest aim: 0 up to QUEUE_AC, 1 from QUEUE_FULL. Judged server by
+        server by its shortest answer: long requests lift a percentile, only a queue lifts the shortest. */
+    private double pressure(long now, Server server) {
+        return Math.max(fleetPressure, Math.min(1, filled(now, server)));
+    }
+
+    private boolean counts(long now, Server server) {
+        return server.inSet && (manyFull || !full(now, server));
+    }
+
+    /** By its queue, or by its own 95th percentile: a slow server that gets little soon shows no queue. */
+    private boolean full(long now, Server server) {
+        return filled(now, server) > 0 || server.ownP95 > aimUsual;
+    }
+
+    private double filled(long now, Server server) {
+        return (waiting(now, server) / tightestAim - QUEUE_AC) / (QUEUE_FULL - QUEUE_AC);
+    }
+
+    /** Takes the shortest of every few answers; a shorter one counts at once. */
+    private void learnWait(long now, Server server, double wait) {
+        server.least = Math.min(server.least, wait);
+        if (++server.leastOf >= LEAST_OF || wait < waiting(now, server)) {
+            setWait(now, server, server.least);
+        }
+    }
+
+    private void setWait(long now, Server server, double wait) {
+        server.wait = wait;
+        server.waitAt = now;
+        server.least = Double.MAX_VALUE;
+        server.leastOf = 0;
+    }
+
+    /** A queue that nobody adds to drains as time goes by. */
+    private static double waiting(long now, Server server) {
+        return Math.max(0, server.wait - (now - server.waitAt));
+    }
+
+    /** New keys first, rising from T_AC; remembered ones only when refusing all new ones isn't enough. */
+    private boolean refuses(long now, Held req, String tenantName, boolean remembered, Server server) {
+        Share share = tenantName == null ? null : tenants.get(tenantName);
+        boolean over = share != null && !share.holds(now);
+        double pressure = pressure(now, server);
+        double chance = over ? OVER * pressure : remembered ? 2 * pressure - 1 : 2 * pressure;
+        if (chance > 0 && random.nextDouble() < chance * (1.2 - 0.4 * req.type.worth() / mostWorth)) {
+            return true;
+        }
+        if (share != null && !over) {
+            share.left--;
+        }
+        return false;
+    }
+
+    // ---- the guards of the four rules
+
+    /** The one gate of every send: drains, repeats, parallel tries and cold hosts are kept here. */
+    private boolean send(long now, Held req, Server server) {
+        if (!maySend(now, req, server)) {
+            return false;
+        }
+        if (server.coldSince > 0) {
+            server.coldCredit--;
+        }
+        Attempt attempt = new Attempt(server, req.cls, now);
+        req.attempts.add(attempt);
+        server.out.add(attempt);
+        freshen(now, server, attempt);
+        if (server.unanswered++ == 0) {
+            server.unansweredSince = now;
+        }
+        server.sentAt = now;
+        server.recent++;
+        recentSum++;
+        outSum++;
+        actions.send(req.id, server.host.address(), req.ends - now);
+        return true;
+    }
+
+    /** Idle connections can be lost unseen (a firewall's or a host's own shorter limit): what is sent on one
+        is reset or never answered. Connections idle for longer than such losses tell are closed before the
+        send. Costs a handshake where the losses had another cause; forgotten after a while. */
+    private void freshen(long now, Server server, Attempt attempt) {
+        long idle = server.out.size() > 1 || server.usedAt == 0 ? 0 : now - server.usedAt;
+        if (idle >= idleLimit) {
+            actions.closeIdle(server.host.address());
+        } else if (idle < settings.links().idle()) {
+            attempt.idle = idle;
+        }
+    }
+
+    /** Losses by how long the connection was idle, in steps of two. From the longest down, each step where
+        half was lost, and far more than on busy connections (step 0), lowers the limit after two losses. */
+    private void learnIdle(long now, Attempt attempt, boolean lost) {
+        int step = attempt.idle <= 0 ? 0 : 63 - Long.numberOfLeadingZeros(attempt.idle);
+        idleLost[step] = (lost ? 1 : 0) + idleLost[step] * IDLE_KEEP;
+        idleSeen[step] = 1 + idleSeen[step] * IDLE_KEEP;
+        double bar = Math.max(0.5, FAR * idleLost[0] / Math.max(1, idleSeen[0]));
+        double seen = 0;
+        for (int i = idleLost.length - 1; lost && i > 0; i--) {
+            seen += idleLost[i];
+            if (idleLost[i] > 0.5 && idleLost[i] >= bar * idleSeen[i] && seen > 1.5 && 1L << i < idleLimit) {
+                idleLimit = 1L << i;
+                idleUntil = now + KEY_MEMORY * 2;
+            }
+        }
+    }
+
+    private boolean maySend(long now, Held req, Server server) {
+        return listed(server) && req.ends > now && !req.streaming
+                && req.attempts.size() < settings.limits().maxAttempts()
+                && mayRepeat(now, req, server) && coldAllows(now, req, server);
+    }
+
+    private boolean listed(Server server) {
+        return server.host.health() == Health.UP && servers.get(server.host.address()) == server;
+    }
+
+    /** An attempt that may have run binds what follows: never, or to its group within the window. */
+    private boolean mayRepeat(long now, Held req, Server server) {
+        for (Attempt attempt : req.attempts) {
+            if (attempt.out && !settings.limits().parallelTries() || attempt.server == server) {
+                return false;
+            }
+            if (attempt.neverRan || req.type.repeat() == Repeat.SAFE) {
+                continue;
+            }
+            if (req.type.repeat() == Repeat.UNSAFE || now - attempt.sentAt >= req.type.dedupWindow()
+                    || !sameGroup(req.type.group(), attempt.server.host, server.host)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean sameGroup(Group group, Host one, Host other) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> one.zone().equals(other.zone());
+            case CELL -> one.cell() == other.cell();
+        };
+    }
+
+    /** The one gate of every refusal and failure: a refusal only where a new try is proved harmless. */
+    private void answer(Held req) {
+        boolean harmless = req.type.repeat() == Repeat.SAFE
+                || req.type.repeat() == Repeat.KEYED && req.type.group() == Group.ALL
+                || req.attempts.stream().allMatch(a -> a.neverRan);
+        if (harmless) {
+            actions.refuse(req.id, settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0);
+        } else {
+            actions.fail(req.id);
+        }
+        end(req);
+    }
+
+    private void end(Held req) {
+        held.remove(req.id);
+        for (int i = 0; i < req.attempts.size(); i++) {
+            Attempt attempt = req.attempts.get(i);
+            if (attempt.out) {
+                attempt.out = false;
+                attempt.server.out.remove(attempt);
+                outSum--;
+                if (settings.limits().cancel()) {
+                    actions.cancel(req.id, i);
+                }
+            }
+        }
+    }
+
+    /** A cold host may take its part of what warm hosts of its kind take; the first comes at a random phase,
+        so that many gateways' single requests don't arrive together. And no more than it answers: keys that
+        warm hosts know, requests that clients give up, all make the part a guess, in any crowd's surge. */
+    private boolean coldAllows(long now, Held req, Server server) {
+        if (server.coldSince == 0 || warmth(now, server) == 1) {
+            return true;
+        }
+        double rate = CREDIT * warmth(now, server) * likeRate(server);
+        double most = Math.max(1, rate * settings.rules().fallSpan() / 2e6);
+        server.coldCredit = Math.min(most, server.coldCredit + rate * (now - server.creditAt) / 1e6);
+        server.creditAt = now;
+        double answering = 2 * rate * usual[req.cls] / 1e6;
+        return server.coldCredit >= 1 && (server.unanswered == 0 || server.unanswered < answering
+                || now - server.sentAt >= settings.rules().fallSpan());
+    }
+
+    /** What warm hosts of the kind last served a second. Not what they were sent: in an overload that is many
+        times what they can do, and a cold host given its part of it falls. Kept while no host is warm, and
+        for about a warm-up when they serve less: in a collapse the newcomers are what ends it. */
+    private double likeRate(Server server) {
+        if (server.kind.rate > 0) {
+            return server.kind.rate;
+        }
+        return kinds.values().stream().filter(k -> k.rate > 0).mapToDouble(k -> k.rate).min().orElse(0);
+    }
+
+    /** The least part of its capacity that a host can have by now. */
+    private double warmth(long now, Server server) {
+        if (server.down) {
+            server.coldSince = now;
+        }
+        if (server.coldSince == 0 || now - server.coldSince >= server.coldSpan) {
+            server.coldSince = 0;
+            return 1;
+        }
+        double from = settings.rules().coldFrom();
+        return from + (1 - from) * (now - server.coldSince) / settings.rules().warmWithin();
+    }
+
+    private void chill(long now, Server server, long since, long span) {
+        if (now - since < span) {
+            server.coldSince = Math.max(1, since);
+            server.coldSpan = span;
+            server.coldCredit = random.nextDouble();
+            server.creditAt = now;
+        }
+    }
+
+    // ---- retries
+
+    private void retry(long now, Held req) {
+        boolean pays = req.ends - now > usual[req.cls] / 2;
+        // Only what failed at a silent server is free: a full table fails too, and free retries keep it full.
+        double cost = req.attempts.get(req.attempts.size() - 1).server.down ? 0 : 1;
+        Server server = pays && retryBudget >= cost ? draw(now, req) : null;
+        if (server != null) {
+            retryBudget -= cost;
+        }
+        place(now, req, server);
+    }
+
+    // ---- probes and registry
+
+    /** Servers that are down, then servers short of samples, within the budget; from a random place, so that
+        late entries of a long list don't starve, and one probe at a time. */
+    private void probeSome() {
+        if (!settings.limits().probes()) {
+            return;
+        }
+        Server[] all = servers.values().toArray(new Server[0]);
+        int from = random.nextInt(Math.max(1, all.length));
+        for (int i = 0; i < 2 * all.length && probeBudget >= 1; i++) {
+            Server server = all[(from + i) % all.length];
+            boolean wanted = i < all.length ? server.down : server.ownCount == 0;
+            if (wanted && !server.probing && server.host.health() == Health.UP) {
+                probeBudget--;
+                server.probing = true;
+                actions.probe(server.host.address());
+            }
+        }
+    }
+
+    @Override
+    public void probed(long now, String address, Outcome outcome, long elapsed, LoadReport report) {
+        Server server = servers.get(address);
+        if (server == null) {
+            return;
+        }
+        server.probing = false;
+        learnReport(now, server, report);
+        if (outcome == Outcome.DELIVERED) {
+            answered(now, server);
+            server.probeTrip = elapsed / usual[0];
+        } else {
+            failed(now, server, outcome);
+        }
+    }
+
+    @Override
+    public void hosts(long now, ListForm form, List<Host> hosts) {
+        if (form == ListForm.FAILED) {
+            askFailures++;
+            // Bounded before it is shifted: after 63 failures the span would be negative and the asking end.
+            long backoff = settings.rules().mustAskIn() / 8 * (1L << Math.min(3, askFailures));
+            askAt = now + backoff / 2 + random.nextLong(backoff / 2 + 1);
+            return;
+        }
+        askFailures = 0;
+        Map<String, Server> before = new LinkedHashMap<>(servers);
+        if (form != ListForm.DELTA) {
+            servers.clear();
+        }
+        hosts.forEach(host -> admit(now, host, before.get(host.address())));
+        seat();
+    }
+
+    private void admit(long now, Host host, Server known) {
+        if (host.health() == Health.GONE) {
+            servers.remove(host.address());
+            return;
+        }
+        Server server = known;
+        if (server == null || host.born() > server.host.born()) {
+            server = new Server(SAMPLES);
+            server.answeredAt = now;
+            server.share = 0.5;
+        }
+        boolean fresh = server != known;
+        server.host = host;
+        server.kind = kinds.computeIfAbsent(host.kind(), k -> new Pool());
+        servers.put(host.address(), server);
+        if (fresh && host.born() > 0) {
+            chill(now, server, host.born(), settings.rules().warmWithin());
+            server.share = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/mastdrift/DrawTest.java
@@ -0,0 +1,92 @@
+package mastdrift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import mastdrift.Balancer.Host;
+import mastdrift.Balancer.ListForm;
+import mastdrift.Balancer.Outcome;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** The draw by shares. */
+class DrawTest {
+
+    /** Two gateways whose lists are in another order must still agree where a key goes. */
+    @Test
+    void orderOfTheListDoesNotMatter() {
+        assertEquals(placed(hosts(40), 300), placed(reversed(hosts(40)), 300));
+    }
+
+    /** A host that leaves takes its keys with it and moves few others. */
+    @Test
+    void oneHostLessMovesFewKeysOfOthers() {
+        Map<Long, String> all = placed(hosts(33), 1000);
+        Map<Long, String> less = placed(hosts(32), 1000);
+        long moved = all.entrySet().stream()
+                .filter(e -> !e.getValue().equals("h32") && !e.getValue().equals(less.get(e.getKey()))).count();
+        assertTrue(moved < 80, "moved " + moved);
+    }
+
+    @Test
+    void equalSharesGetEqualPartsAndNoRequestMissesASmallFleet() {
+        Map<String, Long> parts = placed(hosts(3), 3000).values().stream()
+                .collect(Collectors.groupingBy(h -> h, Collectors.counting()));
+        assertEquals(3000, parts.values().stream().mapToLong(n -> n).sum());
+        assertTrue(parts.values().stream().allMatch(n -> n > 900 && n < 1100), parts.toString());
+    }
+
+    private static List<Host> hosts(int count) {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            hosts.add(Gateway.up(i, 0));
+        }
+        return hosts;
+    }
+
+    private static List<Host> reversed(List<Host> hosts) {
+        Collections.reverse(hosts);
+        return hosts;
+    }
+
+    private static Map<Long, String> placed(List<Host> hosts, int keys) {
+        Gateway gateway = new Gateway();
+        gateway.module.start(gateway.now, gateway.settings(), gateway);
+        gateway.module.hosts(gateway.now, ListForm.CACHED, hosts);
+        for (long key = 0; key < keys; key++) {
+            gateway.request(key);
+            gateway.end(gateway.last(), Outcome.DELIVERED, 10_000);
+        }
+        return gateway.sent.stream().collect(Collectors.toMap(s -> s.id() - 1, Gateway.Sent::address));
+    }
+
+    /** Half of a quiet gateway's requests carry one key: no crowd is ever held, and still it must be spread. */
+    @Test
+    void aPopularKeyIsSpreadThoughNoneOfManyGatewaysHoldsACrowd() {
+        Gateway gateway = new Gateway().start(20);
+        for (int i = 0; i < 400; i++) {
+            gateway.request(i % 2 == 0 ? 7L : 1_000L + i);
+            gateway.advance(100_000);
+            gateway.end(gateway.last(), Outcome.DELIVERED, 20_000);
+        }
+        long most = gateway.sent.stream().collect(Collectors.groupingBy(Gateway.Sent::address,
+                Collectors.counting())).values().stream().max(Long::compare).orElse(0L);
+        assertTrue(most < 100, "to one server " + most + " of 400");
+    }
+
+    /** Crossing zones costs: most goes to the gateway's own zone, and the other still gets its part. */
+    @Test
+    void theOwnZoneGetsMoreThanAnother() {
+        Gateway gateway = new Gateway().start(20);
+        gateway.serve(500, 5_000, 5_000);
+        int before = gateway.sent.size();
+        gateway.serve(1000, 5_000, 5_000);
+        long own = gateway.sent.stream().skip(before)
+                .filter(s -> Integer.parseInt(s.address().substring(1)) % 2 == 0).count();
+        assertTrue(own > 600 && own < 900, "to the own zone " + own + " of 1000");
+    }
+}
--- /dev/null
+++ b/src/test/java/mastdrift/Gateway.java
@@ -0,0 +1,218 @@
+package mastdrift;
+
+import mastdrift.Balancer.Cpu;
+import mastdrift.Balancer.Goal;
+import mastdrift.Balancer.Group;
+import mastdrift.Balancer.Habits;
+import mastdrift.Balancer.Health;
+import mastdrift.Balancer.Host;
+import mastdrift.Balancer.Limits;
+import mastdrift.Balancer.Links;
+import mastdrift.Balancer.ListForm;
+import mastdrift.Balancer.LoadReport;
+import mastdrift.Balancer.Outcome;
+import mastdrift.Balancer.Prices;
+import mastdrift.Balancer.Repeat;
+import mastdrift.Balancer.Reports;
+import mastdrift.Balancer.Request;
+import mastdrift.Balancer.RequestClass;
+import mastdrift.Balancer.Rules;
+import mastdrift.Balancer.Settings;
+import mastdrift.Balancer.Site;
+import mastdrift.Balancer.Tenant;
+import mastdrift.Balancer.Value;
+import mastdrift.Balancer.Weights;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Drives one module by hand and records what it asks for; models no server and no latency. */
+final class Gateway implements Balancer.Actions {
+
+    static final LoadReport NO_REPORT =
+            new LoadReport(Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+
+    /** One send. */
+    record Sent(long id, int attempt, String address, long timeout, long at) { }
+
+    final Balancer module = new Balance();
+    final List<Sent> sent = new ArrayList<>();
+    final List<String> refused = new ArrayList<>();
+    final List<String> failed = new ArrayList<>();
+    final List<String> cancelled = new ArrayList<>();
+    final List<String> probes = new ArrayList<>();
+    final List<Long> retryAfters = new ArrayList<>();
+    final List<String> closed = new ArrayList<>();
+    final List<String> logged = new ArrayList<>();
+    int watches;
+    long now = 1_000_000;
+    private final Map<Long, Integer> attempts = new LinkedHashMap<>();
+    private final TreeMap<Long, List<String>> timers = new TreeMap<>();
+    private long nextId = 1;
+
+    // ---- settings, changed before start
+
+    Repeat repeat = Repeat.SAFE;
+    Group group = Group.ALL;
+    long window = 2_000_000;
+    boolean cancel = true;
+    boolean probing = true;
+    boolean parallel = true;
+    int maxAttempts = 4;
+    boolean retryAfter = true;
+    int gateways = 1;
+    long mustAskIn;
+    List<Tenant> tenants = List.of();
+    List<RequestClass> classes;
+
+    RequestClass type(String name) {
+        return new RequestClass(name, 300_000, 0, 1_000_000, 1, 0.2, repeat, group, window, false);
+    }
+
+    Settings settings() {
+        return new Settings(classes == null ? List.of(type("read")) : classes, tenants,
+                new Limits(cancel, probing, parallel, false, maxAttempts, 20_000, retryAfter, 500_000),
+                new Links(100_000, 5_000_000, 1), new Cpu(500_000, 0),
+                new Rules(20_000, 250_000, mustAskIn, 0.2, 10_000_000, 3, 2_000_000),
+                new Value(new Goal(1, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0.01, 0, 0, 0, 0, 0), 0.05, false),
+                new Site(0, gateways, "z0", List.of("z0", "z1"), List.of("std"), 0, List.of("servers")),
+                new Habits(true, false, Reports.OFF, List.of(), false), mustAskIn > 0, Weights.OFF, "proxy",
+                1_000, 42);
+    }
+
+    Gateway start(int hosts) {
+        module.start(now, settings(), this);
+        List<Host> list = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            list.add(up(i, 0));
+        }
+        module.hosts(now, ListForm.CACHED, list);
+        return this;
+    }
+
+    /** Host i: two zones in turn, two hosts of a zone to a cell. */
+    static Host host(int i, Health health, long born) {
+        return new Host("h" + i, "z" + i % 2, i % 2 * 1000 + i / 4, "std", 1, health, born);
+    }
+
+    static Host up(int i, long born) {
+        return host(i, Health.UP, born);
+    }
+
+    void list(ListForm form, Host... hosts) {
+        module.hosts(now, form, List.of(hosts));
+    }
+
+    long request(Long key) {
+        return request("read", null, key, 1_000_000);
+    }
+
+    long request(String type, String tenant, Long key, long left) {
+        long id = nextId++;
+        module.request(now, new Request(id, type, tenant, key, left));
+        return id;
+    }
+
+    /** The newest send. */
+    Sent last() {
+        return sent.get(sent.size() - 1);
+    }
+
+    List<Sent> sends(long id) {
+        return sent.stream().filter(s -> s.id() == id).toList();
+    }
+
+    void end(Sent send, Outcome outcome) {
+        end(send, outcome, now - send.at());
+    }
+
+    void end(Sent send, Outcome outcome, long elapsed) {
+        module.resolved(now, send.id(), send.attempt(), send.address(), outcome, elapsed,
+                outcome == Outcome.DELIVERED, NO_REPORT);
+    }
+
+    /** Advances the clock, firing the timers that come due. */
+    void advance(long span) {
+        long until = now + span;
+        while (!timers.isEmpty() && timers.firstKey() <= until) {
+            Map.Entry<Long, List<String>> due = timers.pollFirstEntry();
+            now = Math.max(now, due.getKey());
+            for (String handle : due.getValue()) {
+                module.timer(now, handle);
+            }
+        }
+        now = until;
+    }
+
+    /** Serves {@code count} requests of fresh keys, one each {@code gap}, each within {@code elapsed}. */
+    void serve(int count, long gap, long elapsed) {
+        for (int i = 0; i < count; i++) {
+            int before = sent.size();
+            request("read", null, 1_000_000L + nextId, 1_000_000);
+            advance(gap);
+            if (sent.size() > before) {
+                end(last(), Outcome.DELIVERED, elapsed);
+            }
+        }
+    }
+
+    boolean answered(long id) {
+        return refused.contains("" + id) || failed.contains("" + id);
+    }
+
+    // ---- what the module asks for
+
+    @Override
+    public void send(long id, String address, long timeout) {
+        sent.add(new Sent(id, attempts.merge(id, 1, Integer::sum) - 1, address, timeout, now));
+    }
+
+    @Override
+    public void cancel(long id, int attempt) {
+        cancelled.add(id + "/" + attempt);
+    }
+
+    @Override
+    public void refuse(long id, long after) {
+        refused.add("" + id);
+        retryAfters.add(after);
+    }
+
+    @Override
+    public void fail(long id) {
+        failed.add("" + id);
+    }
+
+    @Override
+    public void timer(long at, String handle) {
+        timers.computeIfAbsent(at, t -> new ArrayList<>()).add(handle);
+    }
+
+    @Override
+    public void probe(String address) {
+        probes.add(address);
+    }
+
+    @Override
+    public void watch(boolean active) {
+        watches += active ? 1 : 0;
+    }
+
+    @Override
+    public void fetch() { }
+
+    @Override
+    public void closeIdle(String address) {
+        closed.add(address);
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) { }
+
+    @Override
+    public void log(String line) {
+        logged.add(line);
+    }
+}
