--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -241,13 +241,13 @@
     @Override
     public void timer(long now, String handle) {
         if (handle.equals(TIMER)) {
+            actions.timer(now + REFRESH, TIMER);  // first: a fault in what follows must not end the refreshes
             refresh(now);
             if (now >= askAt) {
                 askAt = Long.MAX_VALUE;
                 actions.watch(true);
             }
             probeSome();
-            actions.timer(now + REFRESH, TIMER);
         }
     }
 
--- /dev/null
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -0,0 +1,311 @@
+package mastdrift.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.WriteTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import mastdrift.Balancer.Repeat;
+import mastdrift.Balancer.RequestClass;
+import mastdrift.Balancer.Settings;
+import mastdrift.Balancer.Tenant;
+
+/** The server that clients connect to: reads requests, refuses what is none, writes the final answers. */
+final class ClientSide {
+
+    private static final int BODY_MOST = 64 << 10;
+    private static final int BACKLOG = 1024;
+    private static final int PIPELINED_MOST = 8;
+    // A client that takes nothing of its answer for so long is gone.
+    private static final int WRITE_SECONDS = 10;
+    // At a stop, new connections go on coming for a while before the front has noticed.
+    private static final long STOP_ACCEPTING_MILLIS = 500;
+    private static final String EXPIRES = HostPool.EXPIRES;
+
+    private final EventLoop loop;
+    private final Gateway gateway;
+    private final int most;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Set<String> tenants = new HashSet<>();
+    private final Set<Connection> connections = new HashSet<>();
+    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();  // the longest idle first
+    private Channel server;
+    private boolean stopping;
+    private Runnable stopped;
+
+    /** Holds about {@code most} connections. */
+    ClientSide(EventLoop loop, Gateway gateway, Settings settings, int most) {
+        this.loop = loop;
+        this.gateway = gateway;
+        this.most = most;
+        settings.classes().forEach(type -> classes.put(type.name(), type));
+        settings.tenants().stream().map(Tenant::name).forEach(tenants::add);
+    }
+
+    ChannelFuture listen(InetSocketAddress at) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpServerCodec(), new Requests(),
+                                new WriteTimeoutHandler(WRITE_SECONDS), new Connection(channel));
+                    }
+                }).bind(at);
+        server = bound.channel();
+        return bound;
+    }
+
+    /** Finishes what was taken and closes; {@code then} runs once all is answered. */
+    void stop(Runnable then) {
+        stopping = true;
+        closeIdle();
+        loop.schedule(() -> {
+            server.close();
+            closeIdle();
+            stopped = then;
+            checkStopped();
+        }, STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIdle() {
+        List.copyOf(idle).forEach(connection -> connection.channel.close());
+    }
+
+    private void checkStopped() {
+        if (stopped != null && connections.isEmpty()) {
+            stopped.run();
+        }
+    }
+
+    /** Whole requests; one that is too long is passed on as such, to be answered in its turn. */
+    private static final class Requests extends HttpObjectAggregator {
+
+        Requests() {
+            super(BODY_MOST);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+            HttpRequest request = (HttpRequest) oversized;
+            FullHttpRequest failed = new DefaultFullHttpRequest(request.protocolVersion(), request.method(),
+                    request.uri(), Unpooled.EMPTY_BUFFER);
+            failed.setDecoderResult(DecoderResult.failure(new TooLongFrameException("body")));
+            context.fireChannelRead(failed);
+        }
+    }
+
+    private record Arrived(FullHttpRequest message, long at) { }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Gateway.Client {
+
+        private final Channel channel;
+        private final Queue<Arrived> waiting = new ArrayDeque<>();
+        private FullHttpRequest current;
+        private Gateway.Exchange exchange;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        /** At the bound, the longest idle one makes room; where none is, no more are accepted for now. */
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections.add(this);
+            idle.add(this);
+            if (connections.size() > most && idle.iterator().next() != this) {
+                idle.iterator().next().channel.close();
+            } else if (connections.size() > most) {
+                server.config().setAutoRead(false);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(this);
+            idle.remove(this);
+            if (connections.size() < most) {
+                server.config().setAutoRead(true);
+            }
+            waiting.forEach(arrived -> arrived.message.release());
+            waiting.clear();
+            if (exchange != null) {
+                exchange.departed();
+            }
+            checkStopped();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+            waiting.add(new Arrived(message.retain(), gateway.now()));
+            if (waiting.size() > PIPELINED_MOST) {
+                channel.config().setAutoRead(false);
+            }
+            if (current == null) {
+                next();
+            }
+        }
+
+        private void next() {
+            Arrived arrived = waiting.poll();
+            if (arrived == null) {
+                channel.config().setAutoRead(true);
+                idle.add(this);
+                return;
+            }
+            idle.remove(this);
+            current = arrived.message;
+            try {
+                begin(arrived);
+            } finally {
+                arrived.message.release();
+            }
+        }
+
+        private void begin(Arrived arrived) {
+            FullHttpRequest message = arrived.message;
+            Throwable fault = message.decoderResult().cause();
+            String path = new QueryStringDecoder(message.uri()).rawPath();
+            if (fault != null) {
+                boolean body = fault instanceof TooLongFrameException && "body".equals(fault.getMessage());
+                plain(body ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST, true);
+            } else if (path.equals("/ready")) {
+                boolean get = message.method().equals(HttpMethod.GET);
+                plain(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
+                        : stopping ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, false);
+            } else if (path.equals("/api") || path.startsWith("/api/")) {
+                take(message, gateway.now() - arrived.at);
+            } else {
+                plain(HttpResponseStatus.NOT_FOUND, false);
+            }
+        }
+
+        private void take(FullHttpRequest message, long waited) {
+            HttpHeaders headers = message.headers();
+            RequestClass type = classes.get(headers.get("X-Qos", ""));
+            String tenant = headers.get("X-Customer");
+            long expires = number(headers.get(EXPIRES));
+            boolean bad = type == null || expires <= 0 || headers.get("X-Trace-Id", "").isBlank()
+                    || !tenants.isEmpty() && !tenants.contains(tenant);
+            if (!message.method().equals(HttpMethod.GET) && !message.method().equals(HttpMethod.POST)
+                    || !bad && message.method().equals(HttpMethod.GET) != (type.repeat() == Repeat.SAFE)) {
+                plain(HttpResponseStatus.METHOD_NOT_ALLOWED, false);
+            } else if (bad || type.repeat() == Repeat.KEYED && headers.get("Idempotency-Key", "").isBlank()) {
+                plain(HttpResponseStatus.BAD_REQUEST, false);
+            } else {
+                long left = Math.min(expires * 1000, type.deadline()) - waited;
+                long work = Math.max(0, number(headers.get("X-Size-Hint")));
+                exchange = gateway.take(this, message, type.name(), tenant, key(headers.get("X-Object")), left,
+                        "1".equals(headers.get("X-Second-Try")), work);
+            }
+        }
+
+        /** The same at every gateway, whatever the form of the name. */
+        private static Long key(String object) {
+            if (object == null) {
+                return null;
+            }
+            long hash = 0xCBF29CE484222325L;  // FNV-1a
+            for (int i = 0; i < object.length(); i++) {
+                hash = (hash ^ object.charAt(i)) * 0x100000001B3L;
+            }
+            return hash;
+        }
+
+        /** Of what is no number, or more than fits: -1. */
+        private static long number(String text) {
+            try {
+                return text == null ? -1 : Integer.parseInt(text.strip());
+            } catch (NumberFormatException e) {
+                return -1;
+            }
+        }
+
+        @Override
+        public void served(FullHttpResponse answer) {
+            ByteBuf body = answer.content().retain();
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body);
+            if (answer.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.headers().get(HttpHeaderNames.CONTENT_TYPE));
+            }
+            write(response, false);
+        }
+
+        /** Whole seconds, as HTTP has them. */
+        @Override
+        public void refused(long retryAfter) {
+            FullHttpResponse response = empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, Math.max(1, (retryAfter + 999_999) / 1_000_000));
+            write(response, false);
+        }
+
+        @Override
+        public void failed(boolean late) {
+            plain(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, false);
+        }
+
+        private void plain(HttpResponseStatus status, boolean close) {
+            write(empty(status), close);
+        }
+
+        private static FullHttpResponse empty(HttpResponseStatus status) {
+            return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        }
+
+        private void write(FullHttpResponse response, boolean close) {
+            exchange = null;
+            boolean keep = !close && !stopping && HttpUtil.isKeepAlive(current);
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            HttpUtil.setKeepAlive(response, keep);
+            channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
+                current = null;
+                if (keep && done.isSuccess()) {
+                    next();
+                } else {
+                    channel.close();
+                }
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -0,0 +1,176 @@
+package mastdrift.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** Fetches and watches the list of hosts. A call that fails, or a watch that ends, is told once; the module decides
+    when to ask again. */
+final class Discovery {
+
+    // A watch has an empty line every 2 s, and calls wait no longer for their turn: such silence is a break.
+    private static final int SILENCE_SECONDS = 5;
+    private static final int DIAL_MILLIS = 2000;
+    private static final int MOST = 4 << 20;
+
+    private final EventLoop loop;
+    private final InetSocketAddress at;
+    private final Consumer<HostList> lists;
+    private final Consumer<String> failures;
+    private long rev;
+    private Channel watch;
+
+    Discovery(EventLoop loop, InetSocketAddress at, long rev, Consumer<HostList> lists, Consumer<String> failures) {
+        this.loop = loop;
+        this.at = at;
+        this.rev = rev;
+        this.lists = lists;
+        this.failures = failures;
+    }
+
+    /** Begins anew where there is a watch already: that one ends unheard. */
+    void watch(boolean active) {
+        Channel before = watch;
+        watch = null;
+        if (before != null) {
+            before.close();
+        }
+        if (active) {
+            watch = call("/v1/endpoints?watch=1&from=" + rev, true);
+        }
+    }
+
+    void fetch() {
+        call("/v1/endpoints", false);
+    }
+
+    private Channel call(String path, boolean watching) {
+        ChannelFuture dialled = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(),
+                                new ReadTimeoutHandler(SILENCE_SECONDS), new Call(watching));
+                    }
+                }).connect(at);
+        dialled.addListener(done -> {
+            if (done.isSuccess()) {
+                DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+                request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at));
+                dialled.channel().writeAndFlush(request);
+            } else {
+                failed(dialled.channel(), watching, "no connection");
+            }
+        });
+        return dialled.channel();
+    }
+
+    private void failed(Channel channel, boolean watching, String cause) {
+        if (!watching || channel == watch) {
+            watch = watching ? null : watch;
+            failures.accept(cause);
+        }
+    }
+
+    /** One call: its answer is one list, or one a line for as long as it stays open. */
+    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+
+        private final boolean watching;
+        private ByteBuf text;
+        private boolean over;
+        private String cause = "the connection ended";
+
+        Call(boolean watching) {
+            this.watching = watching;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            text = context.alloc().heapBuffer();
+        }
+
+        @Override
+        public void handlerRemoved(ChannelHandlerContext context) {
+            text.release();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws IOException {
+            if (over || part.decoderResult().isFailure() || watching && context.channel() != watch) {
+                context.close();
+                return;
+            }
+            if (part instanceof HttpResponse response && response.status().code() != 200) {
+                cause = "status " + response.status().code();
+                context.close();
+            } else if (part instanceof HttpContent content) {
+                text.discardReadBytes().writeBytes(content.content());
+                read(context, part instanceof LastHttpContent);
+            }
+        }
+
+        private void read(ChannelHandlerContext context, boolean last) throws IOException {
+            for (int end = text.bytesBefore((byte) '\n'); watching && end >= 0; end = text.bytesBefore((byte) '\n')) {
+                take(end);
+                text.skipBytes(1);
+            }
+            if (last && !watching) {
+                take(text.readableBytes());
+                over = true;
+            }
+            if (last || text.readableBytes() > MOST) {
+                context.close();
+            }
+        }
+
+        private void take(int length) throws IOException {
+            byte[] line = ByteBufUtil.getBytes(text.readSlice(length));
+            if (!new String(line, StandardCharsets.UTF_8).isBlank()) {
+                HostList list = HostList.parse(Config.JSON.readTree(line));
+                rev = list.rev();
+                lists.accept(list);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (!over) {
+                over = true;
+                failed(context.channel(), watching, cause);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable fault) {
+            boolean odd = fault instanceof IllegalArgumentException || fault instanceof ArithmeticException
+                    || fault instanceof JsonProcessingException;
+            cause = odd ? "odd answer: " + fault.getMessage().lines().findFirst().orElse("") : fault.toString();
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -0,0 +1,332 @@
+package mastdrift.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import mastdrift.Balancer.Health;
+import mastdrift.Balancer.Host;
+import mastdrift.Balancer.Outcome;
+
+/** Connections to hosts. Carries out what it is told on the host that it is told, once, and says how that ended. */
+final class HostPool {
+
+    static final String EXPIRES = "X-Expires-In-Ms";
+    // A restarted host's answers are no larger than a request: this bounds what one attempt can hold.
+    private static final int BODY_MOST = 64 << 10;
+    // What a host is told within this of its closing an idle connection may reach it too late.
+    private static final double IDLE_PART = 0.8;
+    // A first byte may leave later than it was written: drains are kept with this to spare.
+    private static final long GRACE_SPARE = 50_000;
+
+    /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
+    interface Ended {
+        void ended(Outcome outcome, FullHttpResponse answer);
+    }
+
+    private static final class Peer {
+        private InetSocketAddress at;
+        private long born;
+        private long sendUntil = Long.MAX_VALUE;
+        private final Deque<Connection> idle = new ArrayDeque<>();  // the most recently used first
+    }
+
+    private final EventLoop loop;
+    private final LongSupplier clock;
+    private final Bootstrap bootstrap;
+    private final long idleMost;
+    private final long grace;
+    private final int most;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private int connections;
+
+    /** Holds {@code most} connections; spans are in microseconds. */
+    HostPool(EventLoop loop, LongSupplier clock, long dialTimeout, long idle, long grace, int most) {
+        this.loop = loop;
+        this.clock = clock;
+        this.grace = Math.max(0, grace - GRACE_SPARE);
+        this.most = most;
+        idleMost = (long) (idle * IDLE_PART);
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1000))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
+                                new Connection(channel));
+                    }
+                });
+        long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
+        loop.scheduleWithFixedDelay(this::closeAged, sweep, sweep, TimeUnit.MICROSECONDS);
+    }
+
+    /** Hosts that leave, are gone or have started anew lose their idle connections at once. */
+    void update(HostList list) {
+        Set<String> named = new HashSet<>();
+        for (HostList.Entry entry : list.entries()) {
+            Host host = entry.host();
+            named.add(host.address());
+            Peer peer = peers.computeIfAbsent(host.address(), uid -> new Peer());
+            if (host.health() != Health.UP) {
+                leave(peer);
+            } else {
+                if (!entry.at().equals(peer.at) || host.born() != peer.born) {
+                    closeIdle(peer);
+                }
+                peer.sendUntil = Long.MAX_VALUE;
+            }
+            peer.at = entry.at();
+            peer.born = host.born();
+            if (host.health() == Health.GONE) {
+                peers.remove(host.address());
+            }
+        }
+        if (list.all()) {
+            peers.entrySet().removeIf(known -> {
+                boolean gone = !named.contains(known.getKey());
+                if (gone) {
+                    leave(known.getValue());
+                }
+                return gone;
+            });
+        }
+    }
+
+    private void leave(Peer peer) {
+        peer.sendUntil = Math.min(peer.sendUntil, clock.getAsLong() + grace);
+        closeIdle(peer);
+    }
+
+    /** Sends the message, which it releases, and waits for as long as the timeout. */
+    Attempt send(String uid, FullHttpRequest message, long timeout, Ended ended) {
+        Attempt attempt = new Attempt(message, timeout, ended);
+        Peer peer = peers.get(uid);
+        if (peer == null || timeout <= 0) {
+            attempt.end(Outcome.UNUSED, null);
+            return attempt;
+        }
+        attempt.timer = loop.schedule(attempt::expire, timeout, TimeUnit.MICROSECONDS);
+        Connection idle = takeIdle(peer);
+        if (idle != null) {
+            idle.write(attempt);
+        } else if (connections >= most && !closeEldest()) {
+            attempt.end(Outcome.DIAL_FAILED, null);
+        } else {
+            dial(peer, attempt);
+        }
+        return attempt;
+    }
+
+    private void dial(Peer peer, Attempt attempt) {
+        connections++;
+        ChannelFuture dialled = bootstrap.connect(peer.at);
+        attempt.channel = dialled.channel();
+        dialled.channel().closeFuture().addListener(closed -> connections--);
+        dialled.addListener(done -> {
+            if (!done.isSuccess()) {
+                attempt.end(Outcome.DIAL_FAILED, null);
+            } else if (!attempt.over) {
+                Connection connection = dialled.channel().pipeline().get(Connection.class);
+                connection.peer = peer;
+                connection.write(attempt);
+            }
+        });
+    }
+
+    private Connection takeIdle(Peer peer) {
+        for (Connection idle = peer.idle.poll(); idle != null; idle = peer.idle.poll()) {
+            if (idle.channel.isActive() && clock.getAsLong() - idle.idleSince < idleMost) {
+                return idle;
+            }
+            idle.channel.close();
+        }
+        return null;
+    }
+
+    private boolean closeEldest() {
+        Optional<Connection> eldest = peers.values().stream().map(peer -> peer.idle.peekLast())
+                .filter(Objects::nonNull).min(Comparator.comparingLong(idle -> idle.idleSince));
+        eldest.ifPresent(idle -> {
+            idle.peer.idle.remove(idle);
+            idle.channel.close();
+        });
+        return eldest.isPresent();
+    }
+
+    private void closeAged() {
+        long before = clock.getAsLong() - idleMost;
+        for (Peer peer : peers.values()) {
+            while (!peer.idle.isEmpty() && peer.idle.peekLast().idleSince <= before) {
+                peer.idle.pollLast().channel.close();
+            }
+        }
+    }
+
+    void closeIdle(String uid) {
+        if (peers.containsKey(uid)) {
+            closeIdle(peers.get(uid));
+        }
+    }
+
+    private static void closeIdle(Peer peer) {
+        for (Connection idle = peer.idle.poll(); idle != null; idle = peer.idle.poll()) {
+            idle.channel.close();
+        }
+    }
+
+    String host(String uid) {
+        return peers.containsKey(uid) ? NetUtil.toSocketAddressString(peers.get(uid).at) : uid;
+    }
+
+    /** One send: its message until it is written, and who hears of its end. */
+    final class Attempt {
+
+        private FullHttpRequest message;
+        private final long ends;
+        private final Ended ended;
+        private Future<?> timer;
+        private Channel channel;
+        private boolean sending;
+        private boolean written;
+        private boolean over;
+
+        private Attempt(FullHttpRequest message, long timeout, Ended ended) {
+            this.message = message;
+            this.ended = ended;
+            ends = clock.getAsLong() + timeout;
+        }
+
+        /** Stops waiting: the connection closes, by which the host hears of it. */
+        void cancel() {
+            stop(Outcome.REVOKED);
+        }
+
+        private void expire() {
+            stop(sending ? Outcome.EXPIRED : Outcome.DIAL_FAILED);
+        }
+
+        private void stop(Outcome outcome) {
+            if (!over) {
+                end(outcome, null);
+                channel.close();
+            }
+        }
+
+        private void end(Outcome outcome, FullHttpResponse answer) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            if (!sending) {
+                message.release();
+            }
+            ended.ended(outcome, answer);
+        }
+    }
+
+    /** One connection, which carries one attempt at a time. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private final Channel channel;
+        private Peer peer;
+        private Attempt attempt;
+        private long idleSince;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        private void write(Attempt next) {
+            long now = clock.getAsLong();
+            next.channel = channel;
+            if (now >= peer.sendUntil) {  // it waited for its connection while the host was drained
+                next.end(Outcome.UNUSED, null);
+                channel.close();
+                return;
+            }
+            attempt = next;
+            next.sending = true;
+            next.message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(peer.at))
+                    .set(EXPIRES, Math.max(1, (next.ends - now) / 1000));
+            channel.writeAndFlush(next.message).addListener(done -> {
+                next.written = done.isSuccess();
+                if (!done.isSuccess()) {
+                    channel.close();
+                }
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            boolean whole = answer.decoderResult().isSuccess();
+            if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
+            Attempt mine = attempt;
+            attempt = null;
+            if (mine == null || mine.over || !mine.written || !whole || !HttpUtil.isKeepAlive(answer)
+                    || peer.sendUntil != Long.MAX_VALUE) {
+                channel.close();
+            } else {
+                idleSince = clock.getAsLong();
+                peer.idle.push(this);
+            }
+            if (mine != null) {
+                mine.end(whole ? outcome(answer) : Outcome.DROPPED, answer);
+            }
+        }
+
+        private Outcome outcome(FullHttpResponse answer) {
+            return switch (answer.status().code()) {
+                case 200 -> Outcome.DELIVERED;
+                case 503, 504 -> "1".equals(answer.headers().get("X-Never-Ran")) ? Outcome.SHED : Outcome.ERROR;
+                default -> Outcome.ERROR;
+            };
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (attempt != null) {
+                attempt.end(attempt.written ? Outcome.DROPPED : Outcome.DIAL_FAILED, null);
+            } else if (peer != null) {
+                peer.idle.remove(this);
+            }
+        }
+
+        /** A break, or an answer that can't be read: the end of the connection tells the attempt. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/net/LoadReports.java
@@ -0,0 +1,34 @@
+package mastdrift.net;
+
+import java.util.Arrays;
+import java.util.List;
+import mastdrift.Balancer.LoadReport;
+
+/** Reads hosts' load reports: {@code TEXT name=value, name=value}. */
+final class LoadReports {
+
+    private static final List<String> NAMES = List.of("active", "waiting", "cpu", "avg_ms", "rps", "err_rps");
+    private static final List<String> OTHER_NAMES =
+            List.of("inflight", "queue", "util", "latency_ms", "qps", "eps");
+
+    private LoadReports() { }
+
+    /** A value that is missing, or that can't be read, is not given; the text may be null. */
+    static LoadReport parse(String text) {
+        double[] values = new double[NAMES.size()];
+        Arrays.fill(values, Double.NaN);
+        for (String pair : text == null ? new String[0] : text.replaceFirst("^\\s*TEXT\\s", "").split(",")) {
+            String[] parts = pair.split("=", 2);
+            String name = parts[0].strip();
+            int at = Math.max(NAMES.indexOf(name), OTHER_NAMES.indexOf(name));
+            if (at >= 0 && parts.length == 2) {
+                try {
+                    values[at] = Double.parseDouble(parts[1].strip());
+                } catch (NumberFormatException e) {
+                    values[at] = Double.NaN;
+                }
+            }
+        }
+        return new LoadReport(values[0], values[1], values[2], values[3], values[4], values[5]);
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/net/Main.java
@@ -0,0 +1,64 @@
+package mastdrift.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mastdrift.Balance;
+
+/** One real gateway: wires its parts, and ends them at SIGTERM. */
+public final class Main {
+
+    // Of the descriptors: for the program's own files, discovery, and connections that come and go.
+    private static final int RESERVED = 96;
+    private static final int STOP_SECONDS = 4;
+
+    private Main() { }
+
+    /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. */
+    public static void main(String[] args) {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try {
+            ClientSide clients = start(System.getenv(), loop, System.out);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
+        } catch (IllegalArgumentException e) {
+            System.err.println("can't start: " + e.getMessage());
+            System.exit(2);
+        }
+    }
+
+    /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
+    static ClientSide start(Map<String, String> environment, EventLoop loop, PrintStream out) {
+        Config config = Config.read(environment);
+        int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
+        try {
+            ClientSide clients = CompletableFuture.supplyAsync(() -> {
+                Gateway gateway = new Gateway(config, loop, new Balance(), most, most, out);
+                return new ClientSide(loop, gateway, config.settings(), most);
+            }, loop).join();
+            clients.listen(config.listen()).syncUninterruptibly();
+            out.println("listening on " + config.listen());
+            return clients;
+        } catch (CompletionException e) {
+            throw new IllegalArgumentException(e.getCause().getMessage(), e);
+        }
+    }
+
+    /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
+    private static void stop(EventLoop loop, ClientSide clients) {
+        CountDownLatch answered = new CountDownLatch(1);
+        loop.execute(() -> clients.stop(answered::countDown));
+        try {
+            boolean all = answered.await(STOP_SECONDS, TimeUnit.SECONDS);
+            System.out.println(all ? "stopped" : "stopped with requests unanswered");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/src/main/java/mastdrift/wire/Adapter.java
+++ b/src/main/java/mastdrift/wire/Adapter.java
@@ -95,12 +95,21 @@
 
     private Runnable init(String name, Fields f) {
         long seed = f.number("the salt");
-        Balancer.Settings settings = new Facts(f).settings(seed);
+        Balancer.Settings settings = settings(f, seed);
         Balancer module = modules.get();
         instances.put(name, module);
         return () -> module.start(now, settings, new Printer(name));
     }
 
+    private static Balancer.Settings settings(Fields f, long seed) {
+        Facts facts = Facts.read(f);
+        try {
+            return facts.settings(seed);
+        } catch (IllegalArgumentException e) {
+            throw f.expected(e.getMessage());
+        }
+    }
+
     /** Reads the whole event before the module hears of it. */
     private Runnable read(String tag, String name, Fields f) throws IOException {
         Balancer module = instances.get(name);
--- a/src/main/java/mastdrift/wire/Facts.java
+++ b/src/main/java/mastdrift/wire/Facts.java
@@ -21,14 +21,18 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads an instance's settings from the pairs of its {@code init} line. */
-final class Facts {
+/** Reads an instance's settings from paths and their values, as its {@code init} line has them. */
+public final class Facts {
 
-    private final Fields fields;
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values;
 
-    Facts(Fields fields) {
-        this.fields = fields;
+    /** Lists of plain values are joined by commas; lists of objects have a count and items by number. */
+    public Facts(Map<String, String> values) {
+        this.values = values;
+    }
+
+    static Facts read(Fields fields) {
+        Map<String, String> values = new HashMap<>();
         for (String pair : fields.rest()) {
             int eq = pair.indexOf('=');
             if (eq < 0) {
@@ -36,10 +40,12 @@
             }
             values.put(pair.substring(0, eq), pair.substring(eq + 1));
         }
+        return new Facts(values);
     }
 
-    /** Settings that a module can't do without are required; the others have a default that changes nothing. */
-    Settings settings(long seed) {
+    /** Settings that a module can't do without are required; the others have a default that changes nothing.
+        Throws IllegalArgumentException that names what it lacks. */
+    public Settings settings(long seed) {
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < number("classes.count"); i++) {
             classes.add(requestClass("classes." + i + "."));
@@ -105,7 +111,7 @@
     private String text(String path) {
         String value = values.get(path);
         if (value == null) {
-            throw fields.expected("the setting " + path);
+            throw expected("the setting " + path);
         }
         return value;
     }
@@ -114,7 +120,7 @@
         try {
             return Long.parseLong(text(path));
         } catch (NumberFormatException e) {
-            throw fields.expected(path + " as a whole number, not " + text(path));
+            throw expected(path + " as a whole number, not " + text(path));
         }
     }
 
@@ -125,7 +131,7 @@
     private int whole(String path) {
         long value = number(path);
         if (value != (int) value) {
-            throw fields.expected(path + " as a number of 32 bits, not " + value);
+            throw expected(path + " as a number of 32 bits, not " + value);
         }
         return (int) value;
     }
@@ -135,7 +141,15 @@
     }
 
     private double real(String path) {
-        return fields.parseReal(text(path), path);
+        try {
+            double value = Double.parseDouble(text(path));
+            if (Double.isFinite(value)) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            throw expected(path + " as a number, not " + text(path));
+        }
+        throw expected(path + " as a finite number");
     }
 
     private double real(String path, double absent) {
@@ -153,8 +167,12 @@
     private int oneOf(String path, String... words) {
         int found = List.of(words).indexOf(text(path));
         if (found < 0) {
-            throw fields.expected(path + " as one of " + String.join(", ", words) + ", not " + text(path));
+            throw expected(path + " as one of " + String.join(", ", words) + ", not " + text(path));
         }
         return found;
     }
+
+    private static IllegalArgumentException expected(String what) {
+        return new IllegalArgumentException(what);
+    }
 }
