--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -77,6 +77,10 @@
         settings.tenants().stream().map(Tenant::name).forEach(tenants::add);
     }
 
+    InetSocketAddress address() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
     ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -32,8 +32,9 @@
     when to ask again. */
 final class Discovery {
 
-    // A watch has an empty line every 2 s, and calls wait no longer for their turn: such silence is a break.
-    private static final int SILENCE_SECONDS = 5;
+    // Calls wait for their turn, for some seconds; a watch that has begun has an empty line every 2 s at least.
+    private static final int TURN_SECONDS = 5;
+    private static final int SILENCE_SECONDS = 3;
     private static final int DIAL_MILLIS = 2000;
     private static final int MOST = 4 << 20;
 
@@ -75,7 +76,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(),
-                                new ReadTimeoutHandler(SILENCE_SECONDS), new Call(watching));
+                                new ReadTimeoutHandler(TURN_SECONDS), new Call(watching));
                     }
                 }).connect(at);
         dialled.addListener(done -> {
@@ -102,6 +103,7 @@
 
         private final boolean watching;
         private ByteBuf text;
+        private boolean begun;
         private boolean over;
         private String cause = "the connection ended";
 
@@ -138,6 +140,10 @@
             for (int end = text.bytesBefore((byte) '\n'); watching && end >= 0; end = text.bytesBefore((byte) '\n')) {
                 take(end);
                 text.skipBytes(1);
+                if (!begun) {
+                    begun = true;
+                    context.pipeline().replace(ReadTimeoutHandler.class, null, new ReadTimeoutHandler(SILENCE_SECONDS));
+                }
             }
             if (last && !watching) {
                 take(text.readableBytes());
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -35,14 +35,15 @@
     /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
     static ClientSide start(Map<String, String> environment, EventLoop loop, PrintStream out) {
         Config config = Config.read(environment);
+        // Of the clients' half, an eighth is for answering those that come beyond the requests held.
         int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
         try {
             ClientSide clients = CompletableFuture.supplyAsync(() -> {
-                Gateway gateway = new Gateway(config, loop, new Balance(), most, most, out);
+                Gateway gateway = new Gateway(config, loop, new Balance(), most, most - most / 8, out);
                 return new ClientSide(loop, gateway, config.settings(), most);
             }, loop).join();
             clients.listen(config.listen()).syncUninterruptibly();
-            out.println("listening on " + config.listen());
+            out.println("listening on " + clients.address());
             return clients;
         } catch (CompletionException e) {
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
--- /dev/null
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -0,0 +1,197 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.answer;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.tell;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Node;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A gateway's life: its start, what discovery tells it, its bounds, and its stop. */
+class LifeTest {
+
+    private static final int LIFE_SECONDS = 60;
+
+    @TempDir
+    private Path folder;
+
+    private static String up(String uid, Server host) {
+        return entry(uid, host.address(), "a", "in_service");
+    }
+
+    /** Asks until the answers come from the host that discovery told of. */
+    private static void awaitBody(Node node, String body) throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(Loopback.WAIT_SECONDS);
+        while (!body.equals(node.ask(read(20_000)).text())) {
+            assertTrue(System.nanoTime() < until, "no answer from " + body);
+        }
+    }
+
+    /** Guards against a list that stays old after a watch broke: in all these ways it is asked for again, from the
+        version that came last. */
+    @ParameterizedTest
+    @ValueSource(strings = {"end", "odd", "silence"})
+    void aWatchThatBreaksIsResumed(String how) throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Message first = await(discovery.received);
+            assertEquals("GET /v1/endpoints?watch=1&from=1 HTTP/1.1", first.line());
+            tell(first.socket(), list(7, false, entry("s1", one.address(), "a", "terminating"), up("s2", two)));
+            awaitBody(node, "two");
+            if (how.equals("end")) {
+                first.socket().close();
+            } else if (how.equals("odd")) {
+                tell(first.socket(), "{\"rev\":8,\"all\":false,\"targets\":[{\"uid\":3}]}");
+            }
+            Message next = await(discovery.received);
+            assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", next.line());
+            tell(next.socket(), list(9, true, up("s1", one)));
+            awaitBody(node, "one");
+        }
+    }
+
+    /** Guards against a stray close: a gateway that can't reach discovery serves by what it knows. */
+    @Test
+    void withoutDiscoveryTheKnownListServes() throws Exception {
+        Server discovery = discovery();
+        discovery.close();
+        try (Server one = host("one");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            assertEquals("one", node.ask(read(20_000)).text());
+        }
+    }
+
+    @Test
+    void idleClientsMakeRoomAtTheBound() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Socket eldest = node.connect();
+            write(eldest, read(20_000));
+            assertEquals(200, Loopback.read(eldest).status());
+            for (int i = 0; i < 8; i++) {  // 112 descriptors leave 8 to clients
+                assertEquals(200, node.ask(read(20_000)).status());
+            }
+            assertNull(Loopback.read(eldest));
+        }
+    }
+
+    @Test
+    void beyondTheMostOpenRequestsOneIsRefused() throws Exception {
+        try (Server discovery = discovery(); Server silent = new Server(message -> { });
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", silent)),
+                        SETTINGS.replace("\"max_open\":20000", "\"max_open\":1")))) {
+            write(node.connect(), read(60_000));
+            await(silent.received);
+            Message answer = node.ask(read(60_000));
+            assertEquals(503, answer.status());
+            assertEquals("2", answer.header("Retry-After"));
+        }
+    }
+
+    /** Guards against requests lost at a planned restart: what was taken is answered, and what still comes too. */
+    @Test
+    void aStopFinishesWhatWasTaken() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try (Server discovery = discovery();
+                Server host = new Server(message -> {
+                    if (message.line().startsWith("POST")) {
+                        write(message.socket(), answer("200 OK", "one"));
+                    }
+                });
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", host)), SETTINGS))) {
+            Socket idle = node.connect();
+            write(idle, "GET /ready HTTP/1.1\r\n\r\n");
+            assertEquals(200, Loopback.read(idle).status());
+            Socket taken = node.connect();
+            write(taken, read(60_000));
+            Message held = await(host.received);
+            Socket coming = node.connect();
+            node.loop.submit(() -> node.clients.stop(stopped::countDown)).sync();
+            assertNull(Loopback.read(idle));
+            assertNull(Loopback.read(coming));
+            write(held.socket(), answer("200 OK", "in time"));
+            Message answer = Loopback.read(taken);
+            assertEquals("in time", answer.text());
+            assertEquals("close", answer.header("Connection"));
+            assertTrue(stopped.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
+    private Process start(Map<String, String> environment) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
+                System.getProperty("java.class.path"), "mastdrift.net.Main");
+        builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
+        builder.environment().putAll(environment);
+        return builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "log")).start();
+    }
+
+    private String log() throws IOException {
+        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void sigtermEndsTheProgramWithStatus0() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one")) {
+            Process process = start(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
+            try {
+                await(discovery.received);  // it has started
+                process.destroy();
+                assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue(), log());
+                assertTrue(log().endsWith("stopped\n"), log());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "NODE_CONFIG | /none/such | can't read", "NODE_LISTEN | here | address:port",
+        "settings | \"balancers\":0 | gateways can't be 0", "settings | \"balancers\":\"two\" | balancers as a"})
+    void aBadConfigurationIsOnePlainLineAndStatus2(String what, String value, String expected) throws Exception {
+        try (Server discovery = discovery()) {
+            String settings = what.equals("settings") ? SETTINGS.replace("\"balancers\":1", value) : SETTINGS;
+            Map<String, String> environment = new HashMap<>(environment(folder, discovery, list(1, true), settings));
+            if (!what.equals("settings")) {
+                environment.put(what, value);
+            }
+            Process process = start(environment);
+            try {
+                assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(2, process.exitValue(), log());
+                assertEquals(1, log().strip().lines().count(), log());
+                assertTrue(log().contains(expected), log());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -0,0 +1,255 @@
+package mastdrift.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Both sides of a gateway on loopback sockets, by hand: a few plain sockets that a test reads and writes. */
+final class Loopback {
+
+    static final int WAIT_SECONDS = 30;  // a bound on what has to come, far beyond any real wait
+
+    private Loopback() { }
+
+    /** A message as it came: its first line and headers, and its body. */
+    record Message(String head, byte[] body, Socket socket) {
+
+        String line() {
+            return head.lines().findFirst().orElse("");
+        }
+
+        int status() {
+            return Integer.parseInt(line().split(" ")[1]);
+        }
+
+        String header(String name) {
+            return head.lines().filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                    .map(l -> l.substring(name.length() + 1).strip()).findFirst().orElse(null);
+        }
+
+        String text() {
+            return new String(body, StandardCharsets.UTF_8);
+        }
+    }
+
+    /** The next message; null where the connection ends or breaks first. */
+    static Message read(Socket socket) {
+        try {
+            InputStream in = socket.getInputStream();
+            ByteArrayOutputStream head = new ByteArrayOutputStream();
+            while (!head.toString(StandardCharsets.UTF_8).endsWith("\r\n\r\n")) {
+                int next = in.read();
+                if (next < 0) {
+                    return null;
+                }
+                head.write(next);
+            }
+            Message message = new Message(head.toString(StandardCharsets.UTF_8), new byte[0], socket);
+            String length = message.header("Content-Length");
+            return length == null ? message
+                    : new Message(message.head, in.readNBytes(Integer.parseInt(length)), socket);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    static String answer(String status, String body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static <T> T await(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("nothing came");
+        }
+        return next;
+    }
+
+    /** What a server does with a message. */
+    interface Script {
+        void handle(Message message) throws Exception;
+    }
+
+    /** A server that keeps what it gets and acts by its script, one thread a connection. */
+    static final class Server implements AutoCloseable {
+
+        final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+        final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
+        final List<Socket> accepted = new CopyOnWriteArrayList<>();
+        private final ServerSocket socket;
+        private final Script script;
+
+        Server(Script script) throws IOException {
+            this.script = script;
+            socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            run(() -> {
+                while (true) {
+                    Socket connection = socket.accept();
+                    accepted.add(connection);
+                    run(() -> serve(connection));
+                }
+            });
+        }
+
+        private void serve(Socket connection) throws Exception {
+            for (Message next = read(connection); next != null; next = read(connection)) {
+                received.add(next);
+                script.handle(next);
+            }
+            ended.add(connection);
+        }
+
+        private interface Body {
+            void run() throws Exception;
+        }
+
+        private static void run(Body body) {
+            Thread thread = new Thread(() -> {
+                try {
+                    body.run();
+                } catch (Exception e) {
+                    return;  // closed by the test's end, or by its script
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            for (Socket connection : accepted) {
+                connection.close();
+            }
+        }
+    }
+
+    static Server host(String body) throws IOException {
+        return new Server(message -> write(message.socket(), answer("200 OK", body)));
+    }
+
+    static String entry(String uid, String address, String zone, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address + "\",\"az\":\"" + zone + "\",\"model\":\"std\","
+                + "\"pod_group\":1,\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    static String list(int rev, boolean all, String... entries) {
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", entries) + "]}";
+    }
+
+    /** Discovery: every watch is open until the test ends it. */
+    static Server discovery() throws IOException {
+        return new Server(message -> write(message.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    }
+
+    static void tell(Socket watch, String line) throws IOException {
+        write(watch, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    /** Three classes, one of each kind; what a test changes goes by replacing text. */
+    static final String SETTINGS = "{\"allowed\":{\"cancel\":true,\"conn_idle\":5000000,\"dial_timeout\":150000,"
+            + "\"max_attempts\":4,\"max_open\":20000,\"max_retry_after\":2000000,\"parallel_tries\":true,"
+            + "\"probes\":false,\"retry_after\":false},\"balancers\":1,\"classes\":["
+            + type("read", "read_like") + "," + type("start", "idempotency_key") + "," + type("once", "non_idempotent")
+            + "],\"dcs\":[\"a\",\"b\"],\"guarantees\":{\"cold_from\":0.13,\"drain_grace\":250000,\"fall\":2000000,"
+            + "\"must_ask_in\":1000000,\"tip_multiple\":3.0,\"warm_within\":24000000},\"locality\":\"a\",\"me\":0,"
+            + "\"registry_mode\":\"on_request\",\"tenants\":[{\"name\":\"acme\",\"fraction\":1.0,"
+            + "\"quota_per_s\":1000.0}],\"weights\":\"nominal\"}";
+
+    private static String type(String name, String repeat) {
+        return "{\"name\":\"" + name + "\",\"target\":10000000,\"deadline\":60000000,\"credit\":1.0,"
+                + "\"late_share\":0.5,\"repeat\":\"" + repeat + "\",\"group\":\"zone\",\"dedup_window\":60000000}";
+    }
+
+    static Map<String, String> environment(Path folder, Server discovery, String known, String settings)
+            throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, "{\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":112},"
+                + "\"known\":" + known + ",\"settings\":" + settings + "}");
+        return Map.of("NODE_CONFIG", file.toString(), "NODE_LISTEN", "127.0.0.1:0",
+                "NODE_DISCOVERY", discovery.address());
+    }
+
+    /** A gateway in this process. */
+    static final class Node implements AutoCloseable {
+
+        final EventLoop loop = loop();
+        final ByteArrayOutputStream log = new ByteArrayOutputStream();
+        final ClientSide clients;
+        private final List<Socket> sockets = new ArrayList<>();
+
+        Node(Map<String, String> environment) {
+            clients = Main.start(environment, loop, new PrintStream(log, true, StandardCharsets.UTF_8));
+        }
+
+        Socket connect() throws IOException {
+            Socket socket = new Socket();
+            socket.connect(clients.address());
+            socket.setSoTimeout(WAIT_SECONDS * 1000);
+            sockets.add(socket);
+            return socket;
+        }
+
+        /** One request on a connection of its own. */
+        Message ask(String request) throws IOException {
+            Socket socket = connect();
+            write(socket, request);
+            return read(socket);
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+            loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    static EventLoop loop() {
+        return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    }
+
+    static String read(int millis) {
+        return "GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: 9b1f\r\nX-Qos: read\r\nX-Customer: acme\r\n"
+                + "X-Object: 7f3a\r\nX-Expires-In-Ms: " + millis + "\r\n\r\n";
+    }
+
+    static String post(String type, int millis, String body) {
+        return "POST /api/x?y=1%20z HTTP/1.1\r\nHost: s\r\nX-Trace-Id: 9b1f\r\nX-Qos: " + type
+                + "\r\nX-Customer: acme\r\nX-Object: 7f3a\r\nX-Expires-In-Ms: " + millis + "\r\n"
+                + (type.equals("start") ? "Idempotency-Key: 5c0f\r\n" : "")
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static InetSocketAddress at(Server server) {
+        return Config.address(server.address());
+    }
+}
--- /dev/null
+++ b/src/test/java/mastdrift/net/ServingTest.java
@@ -0,0 +1,206 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.answer;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.post;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Node;
+import mastdrift.net.Loopback.Script;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests through a whole gateway: what is passed on, how attempts end, and what that allows. */
+class ServingTest {
+
+    @TempDir
+    private Path folder;
+
+    private Node node(Server discovery, String... entries) throws Exception {
+        return new Node(environment(folder, discovery, list(1, true, entries), SETTINGS));
+    }
+
+    private static String up(String uid, Server host) {
+        return entry(uid, host.address(), "a", "in_service");
+    }
+
+    @Test
+    void aRequestAndItsAnswerPassUnchanged() throws Exception {
+        try (Server discovery = discovery(); Server host = host("{\"answer\":1}");
+                Node node = node(discovery, up("s1", host))) {
+            Message answer = node.ask(post("start", 20_000, "{\"b\": 2}"));
+            Message got = await(host.received);
+            assertEquals(200, answer.status());
+            assertEquals("{\"answer\":1}", answer.text());
+            assertEquals("POST /api/x?y=1%20z HTTP/1.1", got.line());
+            assertEquals("{\"b\": 2}", got.text());
+            assertEquals("9b1f", got.header("X-Trace-Id"));
+            assertEquals("5c0f", got.header("Idempotency-Key"));
+            int left = Integer.parseInt(got.header("X-Expires-In-Ms"));
+            assertTrue(left > 0 && left < 20_000, got.head());
+        }
+    }
+
+    /** Acts as told on the first request that reaches any of its hosts, and serves the others. */
+    private static Script first(AtomicInteger count, String what) {
+        return message -> {
+            if (count.getAndIncrement() > 0) {
+                write(message.socket(), answer("200 OK", "late"));
+            } else if (what.equals("break")) {
+                message.socket().close();
+            } else {
+                write(message.socket(), what.replace("~", "\r\n"));
+                if (what.contains("Length: 9")) {
+                    message.socket().close();
+                }
+            }
+        };
+    }
+
+    /** What never ran goes to the other host even where it must not run twice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 503 No~X-Never-Ran: 1~Content-Length: 0~~",
+        "HTTP/1.1 504 No~X-Never-Ran: 1~Content-Length: 0~~"})
+    void whatNeverRanIsSentAgain(String what) throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        try (Server discovery = discovery(); Server one = new Server(first(count, what));
+                Server two = new Server(first(count, what)); Node node = node(discovery, up("s1", one), up("s2", two))) {
+            assertEquals("late", node.ask(post("once", 20_000, "x")).text());
+            assertEquals(2, count.get());
+        }
+    }
+
+    /** Whichever host the key draws first, it is the closed one in one of the two cases. */
+    @ParameterizedTest
+    @CsvSource({"s1, s2", "s2, s1"})
+    void aRefusedConnectionNeverRan(String down, String up) throws Exception {
+        Server closed = host("");
+        closed.close();
+        try (Server discovery = discovery(); Server host = host("ok");
+                Node node = node(discovery, up(down, closed), up(up, host))) {
+            assertEquals(200, node.ask(post("once", 20_000, "x")).status());
+        }
+    }
+
+    /** Guards against a second effect: each of these may have run, so the request fails and isn't refused. */
+    @ParameterizedTest
+    @ValueSource(strings = {"break", "HTTP/1.1 500 Oh~Content-Length: 0~~", "HTTP/1.1 503 Oh~Content-Length: 0~~",
+        "HTTP/1.1 404 Oh~Content-Length: 0~~", "HTTP/1.1 503 Oh~X-Never-Ran: 0~Content-Length: 0~~", "nonsense~~",
+        "HTTP/1.1 200 OK~Content-Length: 9~~part", "HTTP/1.1 200 OK~Content-Length: 99999~~"})
+    void whatMayHaveRunIsNotSentAgain(String what) throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        try (Server discovery = discovery(); Server one = new Server(first(count, what));
+                Server two = new Server(first(count, what)); Node node = node(discovery, up("s1", one), up("s2", two))) {
+            assertEquals(502, node.ask(post("once", 20_000, "x")).status());
+            assertEquals(1, count.get());
+        }
+    }
+
+    /** A keyed request that may have run stays within the zone that drops its repeats. */
+    @ParameterizedTest
+    @CsvSource({"a, a, 200, 2", "a, b, 502, 1"})
+    void aKeyedRequestIsSentAgainWithinItsGroupOnly(String zone, String other, int status, int sends) throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        Script script = first(count, "break");
+        try (Server discovery = discovery(); Server one = new Server(script); Server two = new Server(script);
+                Node node = node(discovery, entry("s1", one.address(), zone, "in_service"),
+                        entry("s2", two.address(), other, "in_service"))) {
+            assertEquals(status, node.ask(post("start", 20_000, "x")).status());
+            assertEquals(sends, count.get());
+            for (Server host : List.of(one, two)) {
+                assertTrue(host.received.stream().allMatch(m -> "5c0f".equals(m.header("Idempotency-Key"))));
+            }
+        }
+    }
+
+    @Test
+    void withNoHostARequestIsRefusedAtOnceAndToldWhenToComeBack() throws Exception {
+        try (Server discovery = discovery(); Node node = node(discovery)) {
+            Message answer = node.ask(read(20_000));
+            assertEquals(503, answer.status());
+            assertEquals("1", answer.header("Retry-After"));
+        }
+    }
+
+    /** Guards against a request that waits past its client: a silent host must not hold its answer back. */
+    @ParameterizedTest
+    @CsvSource({"read, 503", "once, 504"})
+    void aSilentHostIsGivenUpAtTheDeadline(String type, int status) throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, up("s1", host))) {
+            Message answer = node.ask(type.equals("read") ? read(300) : post(type, 300, "x"));
+            assertEquals(status, answer.status());
+            assertNotNull(await(host.ended));
+        }
+    }
+
+    /** Guards against work for nobody: when the client goes, its attempt's connection closes. */
+    @Test
+    void aClientThatLeavesEndsItsAttempt() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, up("s1", host))) {
+            Socket client = node.connect();
+            write(client, read(60_000));
+            await(host.received);
+            client.close();
+            assertNotNull(await(host.ended));
+            assertEquals(1, host.accepted.size());
+        }
+    }
+
+    @Test
+    void requestsOnOneConnectionAreAnsweredInOrder() throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
+            Socket client = node.connect();
+            write(client, read(20_000) + "GET /none HTTP/1.1\r\n\r\n" + post("start", 20_000, "x"));
+            assertEquals(200, Loopback.read(client).status());
+            assertEquals(404, Loopback.read(client).status());
+            assertEquals(200, Loopback.read(client).status());
+            assertEquals(1, host.accepted.size());  // a connection carries one request after the other
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "400 | nonsense",
+        "400 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Customer: acme~X-Expires-In-Ms: 900",
+        "400 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: unheard~X-Customer: acme~X-Expires-In-Ms: 900",
+        "400 | GET /api HTTP/1.1~X-Qos: read~X-Customer: acme~X-Expires-In-Ms: 900",
+        "400 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: read~X-Customer: acme",
+        "400 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: read~X-Customer: acme~X-Expires-In-Ms: soon",
+        "400 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: read~X-Customer: nobody~X-Expires-In-Ms: 900",
+        "400 | POST /api HTTP/1.1~X-Trace-Id: 1~X-Qos: start~X-Customer: acme~X-Expires-In-Ms: 900~Content-Length: 0",
+        "404 | GET /other HTTP/1.1",
+        "405 | DELETE /api HTTP/1.1~X-Trace-Id: 1~X-Qos: read~X-Customer: acme~X-Expires-In-Ms: 900",
+        "405 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900",
+        "405 | POST /ready HTTP/1.1~Content-Length: 0",
+        "413 | POST /api HTTP/1.1~X-Trace-Id: 1~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900~Content-Length: 65537",
+        "200 | GET /ready HTTP/1.1"})
+    void badInputIsAnsweredAsSuch(int status, String request) throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
+            Message answer = node.ask(request.replace("~", "\r\n") + "\r\n\r\n");
+            assertEquals(status, answer.status());
+            assertNull(host.received.peek());
+        }
+    }
+}
