--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -41,9 +41,9 @@
 final class HostPool {
 
     static final String EXPIRES = "X-Expires-In-Ms";
-    // A restarted host's answers are no larger than a request: this bounds what one attempt can hold.
+    // Bodies hold no more, so this is what one attempt can hold.
     private static final int BODY_MOST = 64 << 10;
-    // What a host is told within this of its closing an idle connection may reach it too late.
+    // Of the time after which hosts close idle connections: a request written in the rest might meet that close.
     private static final double IDLE_PART = 0.8;
     // A first byte may leave later than it was written: drains are kept with this to spare.
     private static final long GRACE_SPARE = 50_000;
@@ -207,10 +207,6 @@
         }
     }
 
-    String host(String uid) {
-        return peers.containsKey(uid) ? NetUtil.toSocketAddressString(peers.get(uid).at) : uid;
-    }
-
     /** One send: its message until it is written, and who hears of its end. */
     final class Attempt {
 
