--- /dev/null
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -0,0 +1,134 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.list;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import mastdrift.Balancer;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The driver, with a module that a test puts in the place of the real one. */
+class GatewayTest {
+
+    @TempDir
+    private Path folder;
+
+    private final EventLoop loop = Main.loop();
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    private final List<String> events = new CopyOnWriteArrayList<>();
+    private Balancer.Actions actions;
+
+    private final Gateway.Client client = new Gateway.Client() {
+        @Override
+        public void served(FullHttpResponse answer) {
+            answers.add("served");
+        }
+
+        @Override
+        public void refused(long retryAfter) {
+            answers.add("refused");
+        }
+
+        @Override
+        public void failed(boolean late) {
+            answers.add(late ? "late" : "failed");
+        }
+    };
+
+    @AfterEach
+    void close() {
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** Takes one request with a module that acts so on it. */
+    private void take(long left, BiConsumer<Balancer.Actions, Long> onRequest) throws Exception {
+        Balancer module = (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                    events.add(method.getName());
+                    if (method.getName().equals("start")) {
+                        actions = (Balancer.Actions) arguments[2];
+                    } else if (method.getName().equals("request")) {
+                        onRequest.accept(actions, ((Balancer.Request) arguments[1]).id());
+                        events.add("end of request");
+                    }
+                    return null;
+                });
+        try (Server discovery = discovery()) {
+            Config config = Config.read(environment(folder, discovery, list(1, true), SETTINGS));
+            loop.submit(() -> new Gateway(config, loop, module, 8, 8, new PrintStream(log, true,
+                    StandardCharsets.UTF_8)).take(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    HttpMethod.GET, "/api"), "read", "acme", null, left, false, 0)).sync();
+        }
+    }
+
+    @Test
+    void aFaultOfTheModuleIsLoggedAndFailsItsRequest() throws Exception {
+        take(60_000_000, (asked, id) -> {
+            throw new IllegalStateException("on purpose");
+        });
+        assertEquals("failed", Loopback.await(answers));
+        assertTrue(log.toString(StandardCharsets.UTF_8).contains("on purpose"));
+    }
+
+    /** Guards against a request that nobody answers: the backstop does, and the module hears that it is over. */
+    @Test
+    void aRequestThatTheModuleForgetsIsFailedInTime() throws Exception {
+        take(50_000, (asked, id) -> { });
+        assertEquals("late", Loopback.await(answers));
+        assertEquals(List.of("start", "hosts", "request", "end of request", "departed"), awaitEvents(5));
+    }
+
+    @Test
+    void aSecondAnswerIsPassedOverAndNothingIsSentAfterTheFirst() throws Exception {
+        take(60_000_000, (asked, id) -> {
+            asked.send(id, "unknown", 1_000_000);
+            asked.refuse(id, 0);
+            asked.fail(id);
+            asked.send(id, "unknown", 1_000_000);
+        });
+        assertEquals("refused", Loopback.await(answers));
+        awaitEvents(6);
+        assertNull(answers.peek());
+    }
+
+    /** Guards against an event inside an event: an outcome that is there at once waits, and each send has one. */
+    @Test
+    void outcomesWaitForTheEndOfTheEventThatCausedThem() throws Exception {
+        take(60_000_000, (asked, id) -> {
+            asked.send(id, "unknown", 1_000_000);
+            asked.send(id, "unknown", 1_000_000);
+        });
+        assertEquals(List.of("start", "hosts", "request", "end of request", "resolved", "resolved"), awaitEvents(6));
+    }
+
+    private List<String> awaitEvents(int count) throws InterruptedException {
+        for (int i = 0; events.size() < count && i < Loopback.WAIT_SECONDS * 100; i++) {
+            Thread.sleep(10);
+        }
+        return events;
+    }
+}
