A connection to a host is offered again only once all that came on it is read

Cause: HostPool.channelRead0 pushed the connection to idle while the decoder still held what came behind the answer; the event that the answer caused put the next attempt on it, and the copy was taken for that one's answer. Ruled out: spoilt heads and lengths as the source of the wrong answers; the decoder rejects all but the line without a colon, which it read as an empty header.

Change: offered again from channelReadComplete, if nothing is left over; any byte on an idle connection closes it. An answer with no length or two, 101, more than 16 interim answers and a header without a colon are dropped attempts, and so is one that stalls for 250 ms once it has begun (before, it took the client's whole time). A connection remembers where it was dialled, so that a host that has moved gets none of its old ones back.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -10,13 +10,18 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AsciiString;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -47,6 +52,10 @@
     private static final double IDLE_PART = 0.8;
     // A first byte may leave later than it was written: drains are kept with this to spare.
     private static final long GRACE_SPARE = 50_000;
+    // An answer of this size has come at once but for a lost packet, which is sent again after 200 ms: one that stalls
+    // for longer won't end.
+    private static final long STALL = 250_000;
+    private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
     interface Ended {
@@ -85,8 +94,9 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST),
-                                new Connection(channel));
+                        Answers answers = new Answers();
+                        channel.pipeline().addLast(new HttpRequestEncoder(), answers,
+                                new HttpObjectAggregator(BODY_MOST), new Connection(channel, answers));
                     }
                 });
         long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
@@ -151,8 +161,10 @@
     }
 
     private void dial(Peer peer, Attempt attempt) {
+        InetSocketAddress at = peer.at;
+        long born = peer.born;
         connections++;
-        ChannelFuture dialled = bootstrap.connect(peer.at);
+        ChannelFuture dialled = bootstrap.connect(at);
         attempt.channel = dialled.channel();
         dialled.channel().closeFuture().addListener(closed -> connections--);
         dialled.addListener(done -> {
@@ -161,6 +173,8 @@
             } else if (!attempt.over) {
                 Connection connection = dialled.channel().pipeline().get(Connection.class);
                 connection.peer = peer;
+                connection.at = at;
+                connection.born = born;
                 connection.write(attempt);
             }
         });
@@ -214,6 +228,7 @@
         private final long ends;
         private final Ended ended;
         private Future<?> timer;
+        private Future<?> stall;
         private Channel channel;
         private boolean sending;
         private boolean written;
@@ -249,6 +264,9 @@
             if (timer != null) {
                 timer.cancel(false);
             }
+            if (stall != null) {
+                stall.cancel(false);
+            }
             if (!sending) {
                 message.release();
             }
@@ -256,16 +274,57 @@
         }
     }
 
+    /** Reads answers; one whose length is told twice or not at all can't be told from a broken or a longer one. */
+    private static final class Answers extends HttpResponseDecoder {
+
+        private boolean begun;
+
+        @Override
+        protected HttpMessage createMessage(String[] line) {
+            begun = true;
+            return super.createMessage(line);
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            boolean empty = super.isContentAlwaysEmpty(message);
+            if (!empty && HttpUtil.isContentLengthSet(message) == HttpUtil.isTransferEncodingChunked(message)) {
+                throw new IllegalArgumentException("an answer with no length, or with two");
+            }
+            return empty;
+        }
+
+        /** A line without a colon would pass for a header with no value. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("a header without a colon");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
+        /** Whether an answer, or what comes in place of one, has begun and not ended. */
+        boolean midway() {
+            return begun || actualReadableBytes() > 0;
+        }
+    }
+
     /** One connection, which carries one attempt at a time. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         private final Channel channel;
+        private final Answers answers;
         private Peer peer;
+        private InetSocketAddress at;
+        private long born;
         private Attempt attempt;
+        private boolean answered;
+        private int interim;
         private long idleSince;
 
-        Connection(Channel channel) {
+        Connection(Channel channel, Answers answers) {
             this.channel = channel;
+            this.answers = answers;
         }
 
         private void write(Attempt next) {
@@ -278,7 +337,7 @@
             }
             attempt = next;
             next.sending = true;
-            next.message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(peer.at))
+            next.message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at))
                     .set(EXPIRES, Math.max(1, (next.ends - now) / 1000));
             channel.writeAndFlush(next.message).addListener(done -> {
                 next.written = done.isSuccess();
@@ -288,26 +347,48 @@
             });
         }
 
+        /** The connection isn't offered again from here: behind the answer there may be more, which would be taken for
+            the answer to the next request. */
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            boolean whole = answer.decoderResult().isSuccess();
-            if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            answers.begun = false;
+            boolean whole = answer.decoderResult().isSuccess()
+                    && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL && ++interim <= INTERIM_MOST) {
                 return;
             }
+            whole &= answer.status().codeClass() != HttpStatusClass.INFORMATIONAL;
             Attempt mine = attempt;
             attempt = null;
-            if (mine == null || mine.over || !mine.written || !whole || !HttpUtil.isKeepAlive(answer)
-                    || peer.sendUntil != Long.MAX_VALUE) {
+            answered = mine != null && !mine.over && mine.written && whole && HttpUtil.isKeepAlive(answer);
+            idleSince = clock.getAsLong();
+            if (!answered) {
                 channel.close();
-            } else {
-                idleSince = clock.getAsLong();
-                peer.idle.push(this);
             }
             if (mine != null) {
                 mine.end(whole ? outcome(answer) : Outcome.DROPPED, answer);
             }
         }
 
+        /** All that came has been read: a connection is good for the next request if nothing came but the answer. What
+            comes while none is out belongs to nobody, and what has begun must end. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (attempt != null) {
+                if (answers.midway() && attempt.stall == null) {
+                    Attempt stalled = attempt;
+                    stalled.stall = loop.schedule(() -> stalled.stop(Outcome.DROPPED), STALL, TimeUnit.MICROSECONDS);
+                }
+            } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && at.equals(peer.at)
+                    && born == peer.born) {
+                interim = 0;
+                peer.idle.push(this);
+            } else {
+                channel.close();
+            }
+            answered = false;
+        }
+
         private Outcome outcome(FullHttpResponse answer) {
             return switch (answer.status().code()) {
                 case 200 -> Outcome.DELIVERED;
@@ -328,7 +409,8 @@
         /** A break, or an answer that can't be read: the end of the connection tells the attempt. */
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException || cause instanceof DecoderException)) {
+            if (!(cause instanceof IOException || cause instanceof DecoderException
+                    || cause instanceof PrematureChannelClosureException)) {
                 faults.accept("fault at a host's connection: " + cause);
             }
             context.close();
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -1,9 +1,11 @@
 package mastdrift.net;
 
+import static mastdrift.net.Loopback.answer;
 import static mastdrift.net.Loopback.await;
 import static mastdrift.net.Loopback.entry;
 import static mastdrift.net.Loopback.host;
 import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -19,10 +21,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import mastdrift.Balancer.Outcome;
+import mastdrift.net.Loopback.Message;
 import mastdrift.net.Loopback.Server;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Connections to hosts, on a clock that the test moves. */
 class HostPoolTest {
@@ -163,4 +168,95 @@
         assertEquals(Outcome.DELIVERED, outcome(pool, "s2"));
         assertTrue(one.received.isEmpty() && outcomes.isEmpty());
     }
+
+    private HostPool poolOf(Server host) throws Exception {
+        HostPool pool = pool(10);
+        onLoop(() -> {
+            update(pool, list(2, false, entry("s1", host.address(), "a", "in_service")));
+            return null;
+        });
+        return pool;
+    }
+
+    /** Guards against an answer that is taken for the next request's: what comes behind one ends the connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK~Content-Length: 1~~1", "noise", "HTTP/1.1 200 OK~Content-Length: 9~~"})
+    void aConnectionOnWhichMoreCameIsNotUsedAgain(String more) throws Exception {
+        try (Server host = new Server(m -> write(m.socket(), answer("200 OK", "1") + more.replace("~", "\r\n")))) {
+            HostPool pool = poolOf(host);
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            assertEquals(2, host.accepted.size());
+        }
+    }
+
+    /** The same for what comes later, while no request is out. */
+    @Test
+    void aByteOnAnIdleConnectionClosesIt() throws Exception {
+        try (Server host = host("1")) {
+            HostPool pool = poolOf(host);
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            write(await(host.received).socket(), "H");
+            assertNotNull(await(host.ended));
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+        }
+    }
+
+    /** Guards against a request that waits its whole time for an answer that won't end, and against one that is served
+        with what can't be told from a part of an answer: each may have run, and the connection is of no further use. */
+    @ParameterizedTest
+    @ValueSource(strings = {"noise~~", "HTTP/1.1 2x0 OK~Content-Length: 1~~1", "ICY 200 OK~Content-Length: 1~~1",
+        "HTTP/1.1 200 OK~no colon here~Content-Length: 1~~1", "HTTP/1.1 200 OK~Content-Length: 9~~part",
+        "HTTP/1.1 200 OK~~1", "HTTP/1.1 200 OK~Content-Le", "HTTP/1.1 200 OK~Content-Length: 3000000000~~1",
+        "HTTP/1.1 200 OK~Content-Length: 1~Content-Length: 2~~12", "HTTP/1.1 200 OK~Content-Length: -1~~1",
+        "HTTP/1.1 200 OK~Content-Length: 1~Transfer-Encoding: chunked~~1~1~0~~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~1~zz~1~0~~",
+        "HTTP/1.1 101 Switching Protocols~Upgrade: other~Connection: upgrade~~HTTP/1.1 200 OK~Content-Length: 1~~1"})
+    void aSpoiltAnswerIsADroppedAttempt(String spoilt) throws Exception {
+        try (Server host = new Server(m -> write(m.socket(), spoilt.replace("~", "\r\n")))) {
+            HostPool pool = poolOf(host);
+            assertEquals(Outcome.DROPPED, outcome(pool, "s1"));
+            assertNotNull(await(host.ended));
+        }
+    }
+
+    @Test
+    void endlessInterimAnswersAreADroppedAttempt() throws Exception {
+        try (Server host = new Server(m -> {
+            while (true) {
+                write(m.socket(), "HTTP/1.1 102 Processing\r\n\r\n");
+            }
+        })) {
+            assertEquals(Outcome.DROPPED, outcome(poolOf(host), "s1"));
+        }
+    }
+
+    @Test
+    void interimAnswersAheadChangeNothing() throws Exception {
+        try (Server host = new Server(m -> write(m.socket(), "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                + "HTTP/1.1 102 Processing\r\n\r\n" + answer("200 OK", "1")))) {
+            HostPool pool = poolOf(host);
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            assertEquals(1, host.accepted.size());
+        }
+    }
+
+    /** Guards against a request that reaches the old address of a host that has moved, which may be another by now. */
+    @Test
+    void aConnectionToWhereAHostWasIsNotUsedAgain() throws Exception {
+        try (Server old = new Server(message -> { })) {
+            HostPool pool = poolOf(old);
+            onLoop(() -> send(pool, "s1"));
+            Message held = await(old.received);
+            onLoop(() -> {
+                update(pool, list(3, false, entry("s1", one.address(), "a", "in_service")));
+                return null;
+            });
+            write(held.socket(), answer("200 OK", "1"));
+            assertEquals(Outcome.DELIVERED, await(outcomes));
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            assertEquals(1, one.received.size());
+        }
+    }
 }
