SIGHUP moves discovery instead of ending the program

Seen: on reload the gateway "crashed: exited with 0" at the first SIGHUP: the virtual machine ends on it by default, through the hook that is for SIGTERM.

Change: Main handles SIGHUP from its first step on, reads NODE_CONFIG again and takes discovery from it; what comes during the start is heard after it, and a file that can't be read is a line in the log. Discovery.move closes the watch and a fetch in flight unheard and asks at the new address at once. For 4 s after a move a call that fails or isn't answered within 1.5 s is repeated by itself: its failure says nothing of discovery and the module, told of it, would wait 1.25 to 2.5 s. A fetched list older than the watch's is dropped.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -79,6 +79,10 @@
         settings.tenants().stream().map(Tenant::name).forEach(tenants::add);
     }
 
+    Gateway gateway() {
+        return gateway;
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
     }
--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -23,18 +23,7 @@
 
     /** Reads the file that {@code NODE_CONFIG} names; the other variables go before what it says. */
     static Config read(Map<String, String> environment) {
-        String file = environment.get("NODE_CONFIG");
-        if (file == null) {
-            throw new IllegalArgumentException("NODE_CONFIG is not set");
-        }
-        JsonNode root;
-        try {
-            root = JSON.readTree(Files.readAllBytes(Path.of(file)));
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(file + " is not JSON: " + e.getOriginalMessage(), e);
-        } catch (IOException | InvalidPathException e) {
-            throw new IllegalArgumentException("can't read " + file + ": " + e, e);
-        }
+        JsonNode root = file(environment);
         Map<String, String> facts = new HashMap<>();
         flatten("", root.path("settings"), facts);
         Settings settings;
@@ -49,6 +38,25 @@
                 HostList.parse(root.path("known")), settings);
     }
 
+    /** Where the file says by now that discovery is. */
+    static InetSocketAddress discovery(Map<String, String> environment) {
+        return address(file(environment).path("discovery").asText());
+    }
+
+    private static JsonNode file(Map<String, String> environment) {
+        String file = environment.get("NODE_CONFIG");
+        if (file == null) {
+            throw new IllegalArgumentException("NODE_CONFIG is not set");
+        }
+        try {
+            return JSON.readTree(Files.readAllBytes(Path.of(file)));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(file + " is not JSON: " + e.getOriginalMessage(), e);
+        } catch (IOException | InvalidPathException e) {
+            throw new IllegalArgumentException("can't read " + file + ": " + e, e);
+        }
+    }
+
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -26,24 +26,34 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** Fetches and watches the list of hosts. A call that fails, or a watch that ends, is told once; the module decides
-    when to ask again. */
+    when to ask again. Discovery may move: then what was asked for is asked for at the new address. */
 final class Discovery {
 
     // Calls wait for their turn, for some seconds; a watch that has begun has an empty line every 2 s at least.
-    private static final int TURN_SECONDS = 5;
-    private static final int SILENCE_SECONDS = 3;
+    private static final int TURN_MILLIS = 5000;
+    private static final int SILENCE_MILLIS = 3000;
+    // After a move, what discovery tells has to be heard within 4 s: for so long a call is repeated soon, and its failure
+    // is one of the move and not told.
+    private static final int MOVE_MILLIS = 4000;
+    private static final int MOVE_TURN_MILLIS = 1500;
+    private static final int MOVE_DIAL_MILLIS = 500;
+    private static final int MOVE_PAUSE_MILLIS = 150;
     private static final int DIAL_MILLIS = 2000;
     private static final int MOST = 4 << 20;
 
     private final EventLoop loop;
-    private final InetSocketAddress at;
+    private InetSocketAddress at;
     private final Consumer<HostList> lists;
     private final Consumer<String> failures;
     private long rev;
     private Channel watch;
+    private boolean watchWanted;
+    private Channel fetch;
+    private long movedAt = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MOVE_MILLIS);
 
     Discovery(EventLoop loop, InetSocketAddress at, long rev, Consumer<HostList> lists, Consumer<String> failures) {
         this.loop = loop;
@@ -55,6 +65,7 @@
 
     /** Begins anew where there is a watch already: that one ends unheard. */
     void watch(boolean active) {
+        watchWanted = active;
         Channel before = watch;
         watch = null;
         if (before != null) {
@@ -65,18 +76,43 @@
         }
     }
 
+    /** Likewise. */
     void fetch() {
-        call("/v1/endpoints", false);
+        Channel before = fetch;
+        fetch = null;
+        if (before != null) {
+            before.close();
+        }
+        fetch = call("/v1/endpoints", false);
+    }
+
+    /** From now on nothing counts that the old address says, nor that it ends. */
+    void move(InetSocketAddress to) {
+        if (to.equals(at)) {
+            return;
+        }
+        at = to;
+        movedAt = System.nanoTime();
+        if (watchWanted) {
+            watch(true);
+        }
+        if (fetch != null) {
+            fetch();
+        }
+    }
+
+    private boolean moving() {
+        return System.nanoTime() - movedAt < TimeUnit.MILLISECONDS.toNanos(MOVE_MILLIS);
     }
 
     private Channel call(String path, boolean watching) {
         ChannelFuture dialled = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, moving() ? MOVE_DIAL_MILLIS : DIAL_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(),
-                                new ReadTimeoutHandler(TURN_SECONDS), new Call(watching));
+                                readTimeout(moving() ? MOVE_TURN_MILLIS : TURN_MILLIS), new Call(watching));
                     }
                 }).connect(at);
         dialled.addListener(done -> {
@@ -91,13 +127,42 @@
         return dialled.channel();
     }
 
+    private static ReadTimeoutHandler readTimeout(long millis) {
+        return new ReadTimeoutHandler(millis, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean replaced(Channel channel, boolean watching) {
+        return channel != (watching ? watch : fetch);
+    }
+
     private void failed(Channel channel, boolean watching, String cause) {
-        if (!watching || channel == watch) {
-            watch = watching ? null : watch;
+        if (replaced(channel, watching)) {
+            return;
+        }
+        ended(watching);
+        if (moving()) {
+            loop.schedule(() -> askAgain(watching), MOVE_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
             failures.accept(cause);
         }
     }
 
+    private void ended(boolean watching) {
+        if (watching) {
+            watch = null;
+        } else {
+            fetch = null;
+        }
+    }
+
+    private void askAgain(boolean watching) {
+        if (watching && watchWanted && watch == null) {
+            watch(true);
+        } else if (!watching && fetch == null) {
+            fetch();
+        }
+    }
+
     /** One call: its answer is one list, or one a line for as long as it stays open. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -123,7 +188,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws IOException {
-            if (over || part.decoderResult().isFailure() || watching && context.channel() != watch) {
+            if (over || part.decoderResult().isFailure() || replaced(context.channel(), watching)) {
                 context.close();
                 return;
             }
@@ -142,12 +207,13 @@
                 text.skipBytes(1);
                 if (!begun) {
                     begun = true;
-                    context.pipeline().replace(ReadTimeoutHandler.class, null, new ReadTimeoutHandler(SILENCE_SECONDS));
+                    context.pipeline().replace(ReadTimeoutHandler.class, null, readTimeout(SILENCE_MILLIS));
                 }
             }
             if (last && !watching) {
                 take(text.readableBytes());
                 over = true;
+                ended(false);
             }
             if (last || text.readableBytes() > MOST) {
                 context.close();
@@ -158,8 +224,10 @@
             byte[] line = ByteBufUtil.getBytes(text.readSlice(length));
             if (!new String(line, StandardCharsets.UTF_8).isBlank()) {
                 HostList list = HostList.parse(Config.JSON.readTree(line));
-                rev = list.rev();
-                lists.accept(list);
+                if (watching || list.rev() >= rev) {  // a fetched list may be older than what the watch has told since
+                    rev = list.rev();
+                    lists.accept(list);
+                }
             }
         }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -9,8 +9,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -111,8 +113,10 @@
         return startedAt + System.nanoTime() / 1000;
     }
 
-    int open() {
-        return open;
+    /** Discovery is to be asked at another address. */
+    void discoverAt(InetSocketAddress at) {
+        log("discovery at " + NetUtil.toSocketAddressString(at));
+        discovery.move(at);
     }
 
     // ---- events: one after the other, never one inside another
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -5,13 +5,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import mastdrift.Balance;
 
-/** One real gateway: wires its parts, and ends them at SIGTERM. */
+/** One real gateway: wires its parts, reads its configuration again at SIGHUP, and ends them at SIGTERM. */
 public final class Main {
 
     // Of the descriptors: for the program's own files, discovery, and connections that come and go.
@@ -23,10 +24,14 @@
     /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. */
     public static void main(String[] args) {
         EventLoop loop = loop();
+        CompletableFuture<Gateway> started = new CompletableFuture<>();
+        // First of all, or the signal would end the program. One that comes during the start is heard after it.
+        onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
             Rehearsal.play(config, loop(), System.out);
             ClientSide clients = start(config, loop, System.out);
+            started.complete(clients.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
@@ -35,6 +40,21 @@
         }
     }
 
+    /** The only way to hear a signal that is not the end of the program; javac warns of the package, whatever is asked. */
+    private static void onHangUp(Runnable then) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
+    }
+
+    /** Takes from the configuration where discovery is; one that can't be read changes nothing. */
+    private static void reload(Gateway gateway, EventLoop loop) {
+        try {
+            InetSocketAddress discovery = Config.discovery(System.getenv());
+            loop.execute(() -> gateway.discoverAt(discovery));
+        } catch (IllegalArgumentException e) {
+            System.out.println("configuration not taken: " + e.getMessage());
+        }
+    }
+
     static EventLoop loop() {
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -12,7 +12,10 @@
 import static mastdrift.net.Loopback.tell;
 import static mastdrift.net.Loopback.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -27,6 +30,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import mastdrift.net.Loopback.Message;
 import mastdrift.net.Loopback.Node;
 import mastdrift.net.Loopback.Server;
@@ -189,6 +193,73 @@
         }
     }
 
+    private void signalHup(Process process, String discovery) throws Exception {
+        Files.writeString(folder.resolve("config.json"), discovery);
+        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+    }
+
+    private void awaitLog(String text) throws Exception {
+        for (int i = 0; !log().contains(text); i++) {
+            assertTrue(i < Loopback.WAIT_SECONDS * 100, log());
+            Thread.sleep(10);
+        }
+    }
+
+    /** Guards against a gateway that SIGHUP ends, and against one that goes on asking where discovery no longer is. */
+    @Test
+    void sighupMovesDiscovery() throws Exception {
+        try (Server discovery = discovery(); Server moved = discovery(); Server one = host("one")) {
+            Process process = start(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
+            try {
+                Message before = await(discovery.received);
+                tell(before.socket(), list(5, false));
+                awaitLog("list 5");
+                signalHup(process, "{\"discovery\":\"" + moved.address() + "\"}");
+                assertEquals("GET /v1/endpoints?watch=1&from=5 HTTP/1.1", await(moved.received).line());
+                assertNotNull(await(discovery.ended));
+                signalHup(process, "{\"discovery\":");
+                awaitLog("configuration not taken");
+                signalHup(process, "{\"discovery\":\"" + moved.address() + "\"}");
+                process.destroy();
+                assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue(), log());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** Guards against an old list in the place of a newer one, and against a move that the module takes for a failure:
+        what the old address says late counts for nothing, and an address that isn't up yet is asked again. */
+    @Test
+    void afterAMoveOnlyTheNewAddressIsHeard() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Server discovery = discovery(); Server one = host("one");
+                Server moved = new Server(message -> {
+                    if (calls.getAndIncrement() == 0) {
+                        message.socket().close();
+                    } else {
+                        write(message.socket(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    }
+                });
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Message before = await(discovery.received);
+            node.loop.submit(() -> node.clients.gateway().discoverAt(Loopback.at(moved))).sync();
+            await(moved.received);
+            Message watch = await(moved.received);
+            assertFalse(node.log.toString(StandardCharsets.UTF_8).contains("discovery failed"));
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    tell(before.socket(), list(9, true));
+                }
+            });
+            tell(watch.socket(), list(6, true, up("s2", one)));
+            awaitBody(node, "one");
+            watch.socket().close();
+            assertEquals("GET /v1/endpoints?watch=1&from=6 HTTP/1.1", await(moved.received).line());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "NODE_CONFIG | /none/such | can't read", "NODE_LISTEN | here | address:port",
