A fault in an event ends with its event, and the module hears of it

From reading, confirmed by the tests: an Error left inEvent set, so that no event was ever heard again (the test hung); an exception while a message was put together left an attempt counted as out with a null in its place; and the module went on holding a request that had failed by its own fault. event() now catches Errors too and resets in any case, a send counts once it is made, and a fault ends in departed.

--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -125,11 +126,12 @@
         events.add(() -> {
             try {
                 event.accept(now());
-            } catch (RuntimeException fault) {
-                log("fault in the module: " + fault + " at " + fault.getStackTrace()[0]);
+            } catch (RuntimeException | Error fault) {  // memory may run out for one request and be there for the next
+                log("fault in an event: " + fault + Arrays.stream(fault.getStackTrace()).limit(1).toList());
                 if (exchange != null && !exchange.ended) {
                     finish(exchange);
                     exchange.client.failed(false);
+                    event(null, now -> module.departed(now, exchange.id));
                 }
             }
         });
@@ -137,10 +139,13 @@
             return;
         }
         inEvent = true;
-        for (Runnable next = events.poll(); next != null; next = events.poll()) {
-            next.run();
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                next.run();
+            }
+        } finally {
+            inEvent = false;  // or no event would ever be heard again
         }
-        inEvent = false;
     }
 
     private void learn(HostList list, ListForm form) {
@@ -227,12 +232,11 @@
         Exchange exchange = ledger.get(id);
         int number = exchange.attempts.size();
         long sentAt = now();
-        exchange.out++;
-        exchange.attempts.add(null);
         boolean refused = exchange.ended || number >= settings.limits().maxAttempts();
-        HostPool.Attempt attempt = hosts.send(uid, onward(exchange), refused ? 0 : timeout,
-                (outcome, answer) -> resolved(exchange, number, uid, sentAt, outcome, answer));
-        exchange.attempts.set(number, attempt);
+        FullHttpRequest message = onward(exchange);
+        exchange.attempts.add(hosts.send(uid, message, refused ? 0 : timeout,
+                (outcome, answer) -> resolved(exchange, number, uid, sentAt, outcome, answer)));
+        exchange.out++;  // only now: of what could not be sent there is no outcome
     }
 
     private static FullHttpRequest onward(Exchange exchange) {
@@ -256,7 +260,7 @@
     @Override
     public void cancel(long id, int attempt) {
         Exchange exchange = ledger.get(id);
-        if (exchange != null) {
+        if (exchange != null && attempt < exchange.attempts.size()) {
             exchange.attempts.get(attempt).cancel();
         }
     }
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -29,6 +29,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The driver, with a module that a test puts in the place of the real one. */
 class GatewayTest {
@@ -85,13 +87,22 @@
         }
     }
 
-    @Test
-    void aFaultOfTheModuleIsLoggedAndFailsItsRequest() throws Exception {
+    /** Guards against a gateway that hangs for good after a fault, also where memory ran out, and against a module that
+        goes on counting what has failed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"module", "memory", "message"})
+    void aFaultIsLoggedAndFailsItsRequest(String where) throws Exception {
         take(60_000_000, (asked, id) -> {
-            throw new IllegalStateException("on purpose");
+            if (where.equals("module")) {
+                throw new IllegalStateException("on purpose");
+            } else if (where.equals("memory")) {
+                throw new OutOfMemoryError("on purpose");
+            }
+            asked.send(id + 1, "unheard", 1);
         });
         assertEquals("failed", Loopback.await(answers));
-        assertTrue(log.toString(StandardCharsets.UTF_8).contains("on purpose"));
+        assertEquals(List.of("start", "hosts", "request", "departed"), awaitEvents(4));
+        assertTrue(log.toString(StandardCharsets.UTF_8).contains("fault"));
     }
 
     /** Guards against a request that nobody answers: the backstop does, and the module hears that it is over. */
