Bound what a client can hold, and turn away what can't be passed on as it is

Confirmed by tests: the id of another's open request was taken, a doubled X-Trace-Id or deadline went on as the first of the two, an id that is not ASCII as another, a GET with a body without it; a connection with a part of a request, or none, stayed for good; a flood of silent ones pushed out those in use. Ruled out: Content-Length beside Transfer-Encoding, conflicting lengths and other codings; the decoder's version rejects them with 400 and the connection closes (tests added).

A request has to be whole 2 s after its connection came, or after its first byte on one in use; then the connection closes without a word, since a 408 might cross a request. Connections idle for 10 s go. At the bound those that never asked go first. What clients break is no longer logged line by line.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -42,6 +43,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
@@ -57,7 +59,16 @@
     private static final int WRITE_SECONDS = 10;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
+    // A request has to be whole so long after its connection came, or after its first byte on one in use: the bound is
+    // not moved by what trickles in.
+    private static final long WHOLE_IN = 2_000_000;
+    private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
+    private static final long SWEEP_MILLIS = 250;
+    private static final String TRACE = "X-Trace-Id";
+    private static final String REPEAT_KEY = "Idempotency-Key";
     private static final String EXPIRES = HostPool.EXPIRES;
+    // Two of one of these would mean one thing here and may mean another at a host.
+    private static final List<String> ONCE = List.of(TRACE, REPEAT_KEY, EXPIRES, "X-Qos", "X-Customer", "X-Object");
 
     private final EventLoop loop;
     private final Gateway gateway;
@@ -65,7 +76,9 @@
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
+    private final LinkedHashSet<Connection> silent = new LinkedHashSet<>();  // never asked yet, the eldest first
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();  // the longest idle first
+    private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
     private boolean stopping;
     private Runnable stopped;
@@ -99,6 +112,7 @@
                     }
                 }).bind(at);
         server = bound.channel();
+        loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -115,9 +129,25 @@
     }
 
     private void closeIdle() {
+        List.copyOf(silent).forEach(connection -> connection.channel.close());
         List.copyOf(idle).forEach(connection -> connection.channel.close());
     }
 
+    private void closeOverdue() {
+        long now = gateway.now();
+        List.copyOf(connections).forEach(connection -> connection.closeOverdue(now));
+    }
+
+    /** Those that never asked go first: silent floods must not push out clients that come back. */
+    private boolean makeRoom(Connection newcomer) {
+        Connection first = Stream.concat(silent.stream(), idle.stream()).filter(c -> c != newcomer).findFirst()
+                .orElse(null);
+        if (first != null) {
+            first.channel.close();
+        }
+        return first != null;
+    }
+
     private void checkStopped() {
         if (stopped != null && connections.isEmpty()) {
             stopped.run();
@@ -149,6 +179,10 @@
         private final Queue<Arrived> waiting = new ArrayDeque<>();
         private FullHttpRequest current;
         private Gateway.Exchange exchange;
+        private String id;
+        private boolean read;
+        private long idleSince = gateway.now();
+        private long partSince;  // since when there is a part of a request, 0 while there is none
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -158,18 +192,26 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             connections.add(this);
-            idle.add(this);
-            if (connections.size() > most && idle.iterator().next() != this) {
-                idle.iterator().next().channel.close();
-            } else if (connections.size() > most) {
+            silent.add(this);
+            if (connections.size() > most && !makeRoom(this)) {
                 server.config().setAutoRead(false);
             }
         }
 
+        /** Without a word: a 408 might cross a request, and be taken for its answer. */
+        private void closeOverdue(long now) {
+            boolean part = partSince != 0 && now - partSince > WHOLE_IN;
+            if (current == null && (part || now - idleSince > (silent.contains(this) ? WHOLE_IN : IDLE_MOST))) {
+                channel.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
+            silent.remove(this);
             idle.remove(this);
+            open.remove(id);
             if (connections.size() <= most) {
                 server.config().setAutoRead(true);
             }
@@ -183,6 +225,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+            read = true;
+            partSince = 0;
+            silent.remove(this);
             waiting.add(new Arrived(message.retain(), gateway.now()));
             if (waiting.size() > PIPELINED_MOST) {
                 channel.config().setAutoRead(false);
@@ -192,13 +237,23 @@
             }
         }
 
+        /** What was read without a whole request coming of it is a part of one. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (!read && partSince == 0) {
+                partSince = gateway.now();
+            }
+            read = false;
+        }
+
         private void next() {
             Arrived arrived = waiting.poll();
             if (arrived == null) {
                 channel.config().setAutoRead(true);
                 idle.add(this);
+                idleSince = gateway.now();
                 if (connections.size() > most) {  // or accepting, once paused, would never go on
-                    idle.iterator().next().channel.close();
+                    makeRoom(null);
                 }
                 return;
             }
@@ -234,14 +289,22 @@
             RequestClass type = classes.get(headers.get("X-Qos", ""));
             String tenant = headers.get("X-Customer");
             long expires = number(headers.get(EXPIRES));
-            boolean bad = type == null || expires <= 0 || headers.get("X-Trace-Id", "").isBlank()
-                    || !tenants.isEmpty() && !tenants.contains(tenant);
-            if (!message.method().equals(HttpMethod.GET) && !message.method().equals(HttpMethod.POST)
+            String trace = headers.get(TRACE, "");
+            boolean keyed = type != null && type.repeat() == Repeat.KEYED;
+            boolean bad = type == null || expires <= 0 || !tenants.isEmpty() && !tenants.contains(tenant)
+                    || !passable(trace) || !passable(message.uri()) || !passable(headers.get(REPEAT_KEY, keyed ? "" : "-"))
+                    || ONCE.stream().anyMatch(name -> headers.getAll(name).size() > 1);
+            if (message.method().equals(HttpMethod.GET) && message.content().isReadable()) {
+                plain(HttpResponseStatus.BAD_REQUEST, true);  // hosts that pass a body over would read it as a request
+            } else if (!message.method().equals(HttpMethod.GET) && !message.method().equals(HttpMethod.POST)
                     || !bad && message.method().equals(HttpMethod.GET) != (type.repeat() == Repeat.SAFE)) {
                 plain(HttpResponseStatus.METHOD_NOT_ALLOWED, false);
-            } else if (bad || type.repeat() == Repeat.KEYED && headers.get("Idempotency-Key", "").isBlank()) {
+            } else if (bad) {
                 plain(HttpResponseStatus.BAD_REQUEST, false);
+            } else if (!open.add(trace)) {
+                plain(HttpResponseStatus.CONFLICT, false);  // whose answer would it be?
             } else {
+                id = trace;
                 long left = Math.min(expires * 1000, type.deadline()) - waited;
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
                 exchange = gateway.take(this, message, type.name(), tenant, key(headers.get("X-Object")), left,
@@ -249,6 +312,11 @@
             }
         }
 
+        /** Whether it goes on as it came: other than visible ASCII would be changed on the way. */
+        private static boolean passable(String text) {
+            return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c <= '~');
+        }
+
         /** The same at every gateway, whatever the form of the name. */
         private static Long key(String object) {
             if (object == null) {
@@ -303,6 +371,8 @@
 
         private void write(FullHttpResponse response, boolean close) {
             exchange = null;
+            open.remove(id);
+            id = null;
             boolean keep = !close && !stopping && HttpUtil.isKeepAlive(current);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keep);
@@ -318,7 +388,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException || cause instanceof TimeoutException)) {
+            boolean clients = cause instanceof IOException || cause instanceof CodecException;
+            if (!clients && !(cause instanceof TimeoutException)) {
                 gateway.log("fault at a client's connection: " + cause);
             }
             context.close();
--- a/src/test/java/mastdrift/net/ServingTest.java
+++ b/src/test/java/mastdrift/net/ServingTest.java
@@ -14,8 +14,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.List;
@@ -195,6 +197,11 @@
         "405 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900",
         "405 | POST /ready HTTP/1.1~Content-Length: 0",
         "413 | POST /api HTTP/1.1~X-Trace-Id: 1~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900~Content-Length: 65537",
+        "400 | POST /api HTTP/1.1~X-Trace-Id: 1~X-Trace-Id: 2~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900",
+        "400 | POST /api HTTP/1.1~X-Trace-Id: 1~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900~X-Expires-In-Ms: 9",
+        "400 | POST /api HTTP/1.1~X-Trace-Id: 1 2~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900",
+        "400 | POST /api HTTP/1.1~X-Trace-Id: \u00e9~X-Qos: once~X-Customer: acme~X-Expires-In-Ms: 900",
+        "400 | GET /api HTTP/1.1~X-Trace-Id: 1~X-Qos: read~X-Customer: acme~X-Expires-In-Ms: -9",
         "200 | GET /ready HTTP/1.1"})
     void badInputIsAnsweredAsSuch(int status, String request) throws Exception {
         try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
@@ -203,4 +210,64 @@
             assertNull(host.received.peek());
         }
     }
+
+    /** Guards against a request hidden in the body of another: where the end of one is in doubt, nothing is passed on
+        and the connection ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5~Transfer-Encoding: chunked~~0~~", "Transfer-Encoding: gzip~~",
+        "Content-Length: 5~Content-Length: 6~~12345", "Content-Length: -1~~", "Content-Length: 99999999999999999999~~",
+        "Transfer-Encoding: chunked~~zz~~", "Content-Length : 5~~12345"})
+    void aRequestWithoutAClearEndIsNotPassedOn(String rest) throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
+            Socket client = node.connect();
+            String head = post("once", 20_000, "").replaceFirst("Content-Length.*(?s:.*)", "");
+            write(client, head + rest.replace("~", "\r\n") + read(20_000));
+            assertEquals(400, Loopback.read(client).status());
+            assertEquals(-1, client.getInputStream().read());
+            assertNull(host.received.peek());
+        }
+    }
+
+    @Test
+    void aBodyWhereNoneBelongsIsNotPassedOn() throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
+            Message answer = node.ask(read(20_000).replace("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nx"));
+            assertEquals(400, answer.status());
+            assertNull(host.received.peek());
+        }
+    }
+
+    /** Guards against answers mixed up between clients, one of which uses the id of the other's open request. */
+    @Test
+    void theIdOfAnOpenRequestIsTurnedAway() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Node node = node(discovery, up("s1", host))) {
+            Socket first = node.connect();
+            write(first, read(60_000));
+            Message held = await(host.received);
+            assertEquals(409, node.ask(read(60_000)).status());
+            write(held.socket(), answer("200 OK", "mine"));
+            assertEquals("mine", Loopback.read(first).text());
+            write(first, read(60_000));
+            assertNotNull(await(host.received));
+        }
+    }
+
+    /** Guards against connections held by clients that never finish a request, however they trickle. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /api HT", "POST /api HTTP/1.1~Content-Length: 99~~part"})
+    void aRequestThatDoesNotComeWholeInTimeEndsItsConnection(String part) throws Exception {
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, up("s1", host))) {
+            Socket client = node.connect();
+            write(client, part.replace("~", "\r\n"));
+            assertEquals(-1, client.getInputStream().read());
+            Socket trickling = node.connect();
+            assertThrows(IOException.class, () -> {
+                for (int i = 0; i < Loopback.WAIT_SECONDS * 100; i++) {
+                    write(trickling, "x");
+                    Thread.sleep(10);
+                }
+            });
+        }
+    }
 }
