Test: what a test tells a watch comes behind the answer's head

Seen once: the list was written before the stand-in's thread had written the head of its answer, so that the watch broke and the test waited in vain.

--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -114,8 +114,10 @@
 
         private void serve(Socket connection) throws Exception {
             for (Message next = read(connection); next != null; next = read(connection)) {
-                received.add(next);
-                script.handle(next);
+                synchronized (connection) {  // what a test tells on hearing of a message comes behind the script's answer
+                    received.add(next);
+                    script.handle(next);
+                }
             }
             ended.add(connection);
         }
@@ -168,7 +170,9 @@
     }
 
     static void tell(Socket watch, String line) throws IOException {
-        write(watch, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+        synchronized (watch) {
+            write(watch, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+        }
     }
 
     /** Three classes, one of each kind; what a test changes goes by replacing text. */
