Out of descriptors the event loop goes on

Its log: the loop's thread ended by NoClassDefFoundError, "unable to load TZDB time-zone rules"; then the virtual machine ended through the hook for SIGTERM, hence the 0.

Cause: a restarted gateway meets some hundred connections at once while attempts run out and are dialled anew; what is closed frees its descriptor only at the next select, so the reserve of 96 is passed for a moment. The library logs the failed accept, the log opens the time zones' file, which fails, and the error is thrown from the logging into the loop. Ruled out: a second SIGTERM, memory (54 of 144 MB), the heap.

The library's log is off (what matters is logged by the gateway itself), and a dial that had no descriptor gives back its place in the count: its channel never closes, since there is none.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -166,11 +166,14 @@
         connections++;
         ChannelFuture dialled = bootstrap.connect(at);
         attempt.channel = dialled.channel();
-        dialled.channel().closeFuture().addListener(closed -> connections--);
         dialled.addListener(done -> {
             if (!done.isSuccess()) {
+                connections--;  // here: where no descriptor was left there is no channel that would close
                 attempt.end(Outcome.DIAL_FAILED, null);
-            } else if (!attempt.over) {
+                return;
+            }
+            dialled.channel().closeFuture().addListener(closed -> connections--);
+            if (!attempt.over) {
                 Connection connection = dialled.channel().pipeline().get(Connection.class);
                 connection.peer = peer;
                 connection.at = at;
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import mastdrift.Balance;
 
 /** One real gateway: wires its parts, reads its configuration again at SIGHUP, and ends them at SIGTERM. */
@@ -19,10 +21,16 @@
     private static final int RESERVED = 96;
     private static final int STOP_SECONDS = 4;
 
+    // Kept, since a logger that nobody holds forgets its level.
+    private static final Logger LIBRARY_LOG = Logger.getLogger("io.netty");
+
     private Main() { }
 
     /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. */
     public static void main(String[] args) {
+        // The library logs a failed accept; out of descriptors the log's own files can't be opened, and the error that
+        // comes of it would end the loop's thread and with it the gateway.
+        LIBRARY_LOG.setLevel(Level.OFF);
         EventLoop loop = loop();
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         // First of all, or the signal would end the program. One that comes during the start is heard after it.
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -260,4 +260,13 @@
             assertEquals(1, one.received.size());
         }
     }
+
+    /** Guards against a bound that failed dials use up. */
+    @Test
+    void aFailedDialFreesItsPlace() throws Exception {
+        HostPool pool = pool(1);
+        one.close();
+        assertEquals(Outcome.DIAL_FAILED, outcome(pool, "s1"));
+        assertEquals(Outcome.DELIVERED, outcome(pool, "s2"));
+    }
 }
