After SIGTERM, serve for 1.5 s on the connections that clients have

To blame: stop() closed idle connections at once and the others with their next answer, so that for clients the gateway was away from the first moment on.

Now connections stay and are served for 1.5 s; new ones are accepted for 0.5 s as before. The module's time for what comes meanwhile ends 0.4 s after the longest deadline, before a kill may come.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -59,6 +59,10 @@
     private static final int WRITE_SECONDS = 10;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
+    // For so long clients are served on the connections that they have, since other gateways may be away as well; and
+    // all is answered so long after the longest deadline, before the program may be killed.
+    private static final long STOP_SERVING_MILLIS = 1500;
+    private static final long STOP_ANSWERED = 400_000;
     // A request has to be whole so long after its connection came, or after its first byte on one in use: the bound is
     // not moved by what trickles in.
     private static final long WHOLE_IN = 2_000_000;
@@ -81,6 +85,8 @@
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
     private boolean stopping;
+    private boolean closing;
+    private long answerBy = Long.MAX_VALUE;
     private Runnable stopped;
 
     /** Holds about {@code most} connections. */
@@ -116,16 +122,18 @@
         return bound;
     }
 
-    /** Finishes what was taken and closes; {@code then} runs once all is answered. */
+    /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. */
     void stop(Runnable then) {
         stopping = true;
-        closeIdle();
+        answerBy = gateway.now() + STOP_ANSWERED
+                + classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+        loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
-            server.close();
+            closing = true;
             closeIdle();
             stopped = then;
             checkStopped();
-        }, STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+        }, STOP_SERVING_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void closeIdle() {
@@ -305,7 +313,7 @@
                 plain(HttpResponseStatus.CONFLICT, false);  // whose answer would it be?
             } else {
                 id = trace;
-                long left = Math.min(expires * 1000, type.deadline()) - waited;
+                long left = Math.min(Math.min(expires * 1000, type.deadline()) - waited, answerBy - gateway.now());
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
                 exchange = gateway.take(this, message, type.name(), tenant, key(headers.get("X-Object")), left,
                         "1".equals(headers.get("X-Second-Try")), work);
@@ -373,7 +381,7 @@
             exchange = null;
             open.remove(id);
             id = null;
-            boolean keep = !close && !stopping && HttpUtil.isKeepAlive(current);
+            boolean keep = !close && !closing && HttpUtil.isKeepAlive(current);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keep);
             channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -8,6 +8,7 @@
 import static mastdrift.net.Loopback.environment;
 import static mastdrift.net.Loopback.host;
 import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.post;
 import static mastdrift.net.Loopback.read;
 import static mastdrift.net.Loopback.tell;
 import static mastdrift.net.Loopback.write;
@@ -159,7 +160,12 @@
             write(taken, read(60_000));
             Message held = await(host.received);
             Socket coming = node.connect();
-            node.loop.submit(() -> node.clients.stop(stopped::countDown)).sync();
+            node.loop.submit(() -> {
+                node.clients.stop(stopped::countDown);
+                write(idle, post("once", 20_000, "x").replace("9b1f", "9b20"));
+                return null;
+            }).sync();
+            assertEquals("one", Loopback.read(idle).text());  // clients may have no other gateway just now
             assertNull(Loopback.read(idle));
             assertNull(Loopback.read(coming));
             write(held.socket(), answer("200 OK", "in time"));
