Engine: ledger, pools and transports apart from HTTP and the platform

Tenants, RADIUS and further sources need more than one list of hosts and more than one protocol, and Gateway held clock, ledger, module driver, HTTP and discovery in one class. Now floor 3 (package engine) has the ledger with one final answer a request, pools (list, module, transport), and a service count by class; it knows no protocol. HTTP is a transport and a front beside it, the platform's gateway one pool that every request goes to. Settings are read in a package of their own: net imported the simulator's wire for them.

--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -121,7 +121,11 @@
 
     /** A host's own report; a value it doesn't give is NaN. */
     record LoadReport(double active, double waiting, double cpu, double serviceMillis, double rps,
-            double errorsPerSecond) { }
+            double errorsPerSecond) {
+        /** Of a host that gave none. */
+        public static final LoadReport NONE =
+                new LoadReport(Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+    }
 
     /** What the module asks of its gateway. */
     interface Actions {
--- /dev/null
+++ b/src/main/java/mastdrift/engine/Client.java
@@ -0,0 +1,14 @@
+package mastdrift.engine;
+
+/** Where the one final answer of a request goes. Exactly one of these is called, once, unless the client left first. */
+public interface Client {
+
+    /** With a host's answer, which the caller releases. */
+    void served(Answer answer);
+
+    /** Trying again does no harm; {@code retryAfter} in microseconds, 0 where nothing is known. */
+    void refused(long retryAfter);
+
+    /** No claim about any effect; {@code late} where the time was up. */
+    void failed(boolean late);
+}
--- /dev/null
+++ b/src/main/java/mastdrift/engine/Exchange.java
@@ -0,0 +1,33 @@
+package mastdrift.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+
+/** A request that was taken, until it has ended and all its attempts have. It lives in one pool. */
+public final class Exchange {
+
+    final long id;
+    final Pool pool;
+    final Client client;
+    final Call call;
+    final String className;
+    final List<Transport.Attempt> attempts = new ArrayList<>(2);
+    Future<?> backstop;
+    int out;
+    boolean late;
+    boolean ended;
+
+    Exchange(long id, Pool pool, Client client, Call call, String className) {
+        this.id = id;
+        this.pool = pool;
+        this.client = client;
+        this.call = call;
+        this.className = className;
+    }
+
+    /** The client went away: nothing more is owed. */
+    public void departed() {
+        pool.ledger().departed(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -0,0 +1,196 @@
+package mastdrift.engine;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import mastdrift.Balancer;
+import mastdrift.Balancer.ListForm;
+import mastdrift.Balancer.LoadReport;
+import mastdrift.Balancer.Outcome;
+import mastdrift.Balancer.Settings;
+
+/** A list of hosts, the one module that decides on them, and the transport to them. Drives the module: hands it events and
+    carries out what it asks. Everything happens on the loop's thread. */
+public final class Pool implements Balancer.Actions {
+
+    private static final Transport.Attempt NOT_SENT = () -> { };
+
+    private final String name;
+    private final Ledger ledger;
+    private final Balancer module;
+    private final Settings settings;
+    private final Transport transport;
+    private Source source = Source.TELLS;
+    private int living;
+    private boolean closed;
+
+    /** {@link #start} comes first of all events. */
+    public Pool(String name, Ledger ledger, Balancer module, Settings settings, Transport transport) {
+        this.name = name;
+        this.ledger = ledger;
+        this.module = module;
+        this.settings = settings;
+        this.transport = transport;
+    }
+
+    /** Starts the module with the hosts known so far; throws IllegalArgumentException for settings it can't run with. */
+    public void start(Source from, List<Member> known) {
+        source = from;
+        module.start(ledger.now(), settings, this);
+        learn(ListForm.CACHED, known);
+    }
+
+    /** What operators call it. */
+    public String name() {
+        return name;
+    }
+
+    /** The settings of its module. */
+    public Settings settings() {
+        return settings;
+    }
+
+    /** Requests of this pool of which something is still out. */
+    public int living() {
+        return living;
+    }
+
+    Balancer module() {
+        return module;
+    }
+
+    Ledger ledger() {
+        return ledger;
+    }
+
+    void began() {
+        living++;
+    }
+
+    void ended() {
+        living--;
+        if (closed && living == 0) {
+            transport.close();
+        }
+    }
+
+    /** Hosts, or changes of them: in force once this returns. */
+    public void learn(ListForm form, List<Member> members) {
+        transport.update(form != ListForm.DELTA, members);
+        ledger.event(null, now -> module.hosts(now, form, members.stream().map(Member::host).toList()));
+    }
+
+    /** The source was asked and failed. */
+    public void unheard() {
+        ledger.event(null, now -> module.hosts(now, ListForm.FAILED, List.of()));
+    }
+
+    /** Nobody is sent anything new any more; what is out ends, then its connections close. */
+    public void close() {
+        closed = true;
+        source.watch(false);
+        learn(ListForm.FULL, List.of());
+        if (living == 0) {
+            transport.close();
+        }
+    }
+
+    private void resolved(Exchange exchange, int number, String uid, long sentAt, Outcome outcome, Answer answer,
+            LoadReport report) {
+        long elapsed = ledger.now() - sentAt;
+        exchange.late = outcome == Outcome.EXPIRED;
+        if (outcome == Outcome.DELIVERED && !exchange.ended) {
+            ledger.served(exchange, answer);
+        }
+        ledger.event(exchange, now -> {
+            exchange.out--;
+            ledger.forget(exchange);
+            module.resolved(now, exchange.id, number, uid, outcome, elapsed, exchange.ended, report);
+        });
+    }
+
+    // ---- actions
+
+    @Override
+    public void send(long id, String uid, long timeout) {
+        Exchange exchange = ledger.find(id);
+        int number = exchange.attempts.size();
+        long sentAt = ledger.now();
+        Transport.Ended ended = (outcome, answer, report) ->
+                resolved(exchange, number, uid, sentAt, outcome, answer, report);
+        if (exchange.ended || number >= settings.limits().maxAttempts()) {
+            exchange.attempts.add(NOT_SENT);
+            ended.ended(Outcome.UNUSED, null, LoadReport.NONE);
+        } else {
+            exchange.attempts.add(transport.send(uid, exchange.call, timeout, ended));
+        }
+        exchange.out++;  // only now: of what could not be sent there is no outcome
+    }
+
+    @Override
+    public void cancel(long id, int attempt) {
+        Exchange exchange = ledger.find(id);
+        if (exchange != null && attempt < exchange.attempts.size()) {
+            exchange.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void refuse(long id, long retryAfter) {
+        Exchange exchange = ledger.find(id);
+        if (exchange != null && !exchange.ended) {
+            ledger.refuse(exchange, retryAfter);
+        }
+    }
+
+    @Override
+    public void fail(long id) {
+        Exchange exchange = ledger.find(id);
+        if (exchange != null && !exchange.ended) {
+            ledger.fail(exchange, exchange.late);
+        }
+    }
+
+    @Override
+    public void timer(long at, String handle) {
+        ledger.loop().schedule(() -> {
+            if (!closed || living > 0) {  // or the module of a pool that is gone would go on for good
+                ledger.event(null, now -> module.timer(now, handle));
+            }
+        }, Math.max(1, at - ledger.now()), TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void probe(String uid) {
+        long sentAt = ledger.now();
+        transport.probe(uid, (outcome, report) -> {
+            long elapsed = ledger.now() - sentAt;
+            ledger.event(null, now -> module.probed(now, uid, outcome, elapsed, report));
+        });
+    }
+
+    @Override
+    public void watch(boolean active) {
+        source.watch(active);
+    }
+
+    @Override
+    public void fetch() {
+        source.fetch();
+    }
+
+    @Override
+    public void closeIdle(String uid) {
+        transport.closeIdle(uid);
+    }
+
+    /** The settings allow no messages between gateways; the module sends none. */
+    @Override
+    public void tell(int peer, byte[] message) {
+        throw new UnsupportedOperationException("gateways share nothing");
+    }
+
+    @Override
+    public void log(String line) {
+        ledger.log(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/engine/Source.java
@@ -0,0 +1,20 @@
+package mastdrift.engine;
+
+/** Who tells a pool its hosts, as far as the module may ask; it answers by {@link Pool#learn} or {@link Pool#unheard}. */
+public interface Source {
+
+    /** A source that tells by itself and can't be asked. */
+    Source TELLS = new Source() {
+        @Override
+        public void watch(boolean active) { }
+
+        @Override
+        public void fetch() { }
+    };
+
+    /** Subscribes to changes, or ends that. */
+    void watch(boolean active);
+
+    /** Asks for the whole list, once. */
+    void fetch();
+}
--- /dev/null
+++ b/src/main/java/mastdrift/engine/Transport.java
@@ -0,0 +1,43 @@
+package mastdrift.engine;
+
+import java.util.List;
+import mastdrift.Balancer.LoadReport;
+import mastdrift.Balancer.Outcome;
+
+/** Connections to the hosts of one pool. Carries out each send on the host that it is told, once, and says how that ended;
+    it neither tries again nor sends elsewhere. All on the loop's thread. */
+public interface Transport {
+
+    /** Hears how a send ended, exactly once, possibly before {@link Transport#send} returns. */
+    interface Ended {
+        /** The answer is null where the host gave none. */
+        void ended(Outcome outcome, Answer answer, LoadReport report);
+    }
+
+    /** Hears how a probe ended, exactly once. */
+    interface Probed {
+        void probed(Outcome outcome, LoadReport report);
+    }
+
+    /** A send that may be out. */
+    interface Attempt {
+        /** Stops waiting; the outcome is REVOKED unless there is one already. */
+        void cancel();
+    }
+
+    /** Sends the call to a host and waits for {@code timeout} microseconds. A host that it doesn't know, or that may have
+        nothing new, and a timeout of 0 or less give UNUSED. */
+    Attempt send(String uid, Call call, long timeout, Ended ended);
+
+    /** Checks a host. */
+    void probe(String uid, Probed probed);
+
+    /** Hosts, all of them or those that changed. What leaves or is gone gets nothing new once the grace is over. */
+    void update(boolean all, List<Member> members);
+
+    /** Closes idle connections to a host. */
+    void closeIdle(String uid);
+
+    /** Ends for good: idle connections close, and nothing new is sent. */
+    void close();
+}
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -43,14 +43,26 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
-import mastdrift.Balancer.Settings;
 import mastdrift.Balancer.Tenant;
+import mastdrift.engine.Answer;
+import mastdrift.engine.Ask;
+import mastdrift.engine.Client;
+import mastdrift.engine.Exchange;
+import mastdrift.engine.Ledger;
+import mastdrift.engine.Pool;
 
 /** The server that clients connect to: reads requests, refuses what is none, writes the final answers. */
-final class ClientSide {
+public final class ClientSide {
+
+    /** Which pool a request is for. */
+    public interface Router {
+        /** Null where no route fits; the key (or null) is the same in repeats of a request. */
+        Pool pool(RequestClass type, String tenant, HttpRequest message, Long key);
+    }
 
     private static final int BODY_MOST = 64 << 10;
     private static final int BACKLOG = 1024;
@@ -75,7 +87,9 @@
     private static final List<String> ONCE = List.of(TRACE, REPEAT_KEY, EXPIRES, "X-Qos", "X-Customer", "X-Object");
 
     private final EventLoop loop;
-    private final Gateway gateway;
+    private final Ledger ledger;
+    private final Router router;
+    private final Consumer<String> log;
     private final int most;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
@@ -90,23 +104,24 @@
     private Runnable stopped;
 
     /** Holds about {@code most} connections. */
-    ClientSide(EventLoop loop, Gateway gateway, Settings settings, int most) {
+    public ClientSide(EventLoop loop, Ledger ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
+            int most, Consumer<String> log) {
         this.loop = loop;
-        this.gateway = gateway;
+        this.ledger = ledger;
+        this.router = router;
+        this.log = log;
         this.most = most;
-        settings.classes().forEach(type -> classes.put(type.name(), type));
-        settings.tenants().stream().map(Tenant::name).forEach(tenants::add);
+        classes.forEach(type -> this.classes.put(type.name(), type));
+        tenants.stream().map(Tenant::name).forEach(this.tenants::add);
     }
 
-    Gateway gateway() {
-        return gateway;
-    }
-
-    InetSocketAddress address() {
+    /** Where it listens, once it does. */
+    public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
     }
 
-    ChannelFuture listen(InetSocketAddress at) {
+    /** Binds; whether that went well is in the future. */
+    public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -123,9 +138,9 @@
     }
 
     /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. */
-    void stop(Runnable then) {
+    public void stop(Runnable then) {
         stopping = true;
-        answerBy = gateway.now() + STOP_ANSWERED
+        answerBy = ledger.now() + STOP_ANSWERED
                 + classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
         loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
@@ -142,7 +157,7 @@
     }
 
     private void closeOverdue() {
-        long now = gateway.now();
+        long now = ledger.now();
         List.copyOf(connections).forEach(connection -> connection.closeOverdue(now));
     }
 
@@ -181,15 +196,15 @@
 
     private record Arrived(FullHttpRequest message, long at) { }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Gateway.Client {
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Client {
 
         private final Channel channel;
         private final Queue<Arrived> waiting = new ArrayDeque<>();
         private FullHttpRequest current;
-        private Gateway.Exchange exchange;
+        private Exchange exchange;
         private String id;
         private boolean read;
-        private long idleSince = gateway.now();
+        private long idleSince = ledger.now();
         private long partSince;  // since when there is a part of a request, 0 while there is none
 
         Connection(Channel channel) {
@@ -236,7 +251,7 @@
             read = true;
             partSince = 0;
             silent.remove(this);
-            waiting.add(new Arrived(message.retain(), gateway.now()));
+            waiting.add(new Arrived(message.retain(), ledger.now()));
             if (waiting.size() > PIPELINED_MOST) {
                 channel.config().setAutoRead(false);
             }
@@ -249,7 +264,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             if (!read && partSince == 0) {
-                partSince = gateway.now();
+                partSince = ledger.now();
             }
             read = false;
         }
@@ -259,7 +274,7 @@
             if (arrived == null) {
                 channel.config().setAutoRead(true);
                 idle.add(this);
-                idleSince = gateway.now();
+                idleSince = ledger.now();
                 if (connections.size() > most) {  // or accepting, once paused, would never go on
                     makeRoom(null);
                 }
@@ -286,7 +301,7 @@
                 plain(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
                         : stopping ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, false);
             } else if (path.equals("/api") || path.startsWith("/api/")) {
-                take(message, gateway.now() - arrived.at);
+                take(message, ledger.now() - arrived.at);
             } else {
                 plain(HttpResponseStatus.NOT_FOUND, false);
             }
@@ -313,10 +328,16 @@
                 plain(HttpResponseStatus.CONFLICT, false);  // whose answer would it be?
             } else {
                 id = trace;
-                long left = Math.min(Math.min(expires * 1000, type.deadline()) - waited, answerBy - gateway.now());
+                long left = Math.min(Math.min(expires * 1000, type.deadline()) - waited, answerBy - ledger.now());
                 long work = Math.max(0, number(headers.get("X-Size-Hint")));
-                exchange = gateway.take(this, message, type.name(), tenant, key(headers.get("X-Object")), left,
-                        "1".equals(headers.get("X-Second-Try")), work);
+                Long key = key(headers.get("X-Object"));
+                Pool pool = router.pool(type, tenant, message, keyed ? key(headers.get(REPEAT_KEY)) : key);
+                if (pool == null) {
+                    plain(HttpResponseStatus.NOT_FOUND, false);
+                    return;
+                }
+                exchange = ledger.take(pool, this, new HttpCall(message.retain()), new Ask(type.name(), tenant, key, left,
+                        "1".equals(headers.get("X-Second-Try")), message.method().equals(HttpMethod.POST), work));
             }
         }
 
@@ -347,7 +368,8 @@
         }
 
         @Override
-        public void served(FullHttpResponse answer) {
+        public void served(Answer given) {
+            FullHttpResponse answer = ((HttpAnswer) given).message();
             ByteBuf body = answer.content().retain();
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body);
             if (answer.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
@@ -398,7 +420,7 @@
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             boolean clients = cause instanceof IOException || cause instanceof CodecException;
             if (!clients && !(cause instanceof TimeoutException)) {
-                gateway.log("fault at a client's connection: " + cause);
+                log.accept("fault at a client's connection: " + cause);
             }
             context.close();
         }
--- a/src/main/java/mastdrift/net/Config.java
+++ b/src/main/java/mastdrift/net/Config.java
@@ -16,7 +16,7 @@
 import java.util.Objects;
 import java.util.stream.Collectors;
 import mastdrift.Balancer.Settings;
-import mastdrift.wire.Facts;
+import mastdrift.settings.Facts;
 
 /** What a gateway is told at its start; throws IllegalArgumentException with one plain line where it can't be read. */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, int sockets, HostList known, Settings settings) {
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -31,6 +31,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -41,6 +42,8 @@
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 import mastdrift.Balancer.Outcome;
+import mastdrift.engine.Member;
+import mastdrift.engine.Transport;
 
 /** Connections to hosts. Carries out what it is told on the host that it is told, once, and says how that ended. */
 final class HostPool {
@@ -72,6 +75,7 @@
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Bootstrap bootstrap;
+    private final Future<?> sweeps;
     private final long idleMost;
     private final long grace;
     private final int most;
@@ -100,13 +104,13 @@
                     }
                 });
         long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
-        loop.scheduleWithFixedDelay(this::closeAged, sweep, sweep, TimeUnit.MICROSECONDS);
+        sweeps = loop.scheduleWithFixedDelay(this::closeAged, sweep, sweep, TimeUnit.MICROSECONDS);
     }
 
     /** Hosts that leave, are gone or have started anew lose their idle connections at once. */
-    void update(HostList list) {
+    void update(boolean all, List<Member> members) {
         Set<String> named = new HashSet<>();
-        for (HostList.Entry entry : list.entries()) {
+        for (Member entry : members) {
             Host host = entry.host();
             named.add(host.address());
             Peer peer = peers.computeIfAbsent(host.address(), uid -> new Peer());
@@ -124,7 +128,7 @@
                 peers.remove(host.address());
             }
         }
-        if (list.all()) {
+        if (all) {
             peers.entrySet().removeIf(known -> {
                 boolean gone = !named.contains(known.getKey());
                 if (gone) {
@@ -218,6 +222,12 @@
         }
     }
 
+    /** For good: no host is known any more. */
+    void close() {
+        update(true, List.of());
+        sweeps.cancel(false);
+    }
+
     private static void closeIdle(Peer peer) {
         for (Connection idle = peer.idle.poll(); idle != null; idle = peer.idle.poll()) {
             idle.channel.close();
@@ -225,7 +235,7 @@
     }
 
     /** One send: its message until it is written, and who hears of its end. */
-    final class Attempt {
+    final class Attempt implements Transport.Attempt {
 
         private FullHttpRequest message;
         private final long ends;
@@ -244,7 +254,8 @@
         }
 
         /** Stops waiting: the connection closes, by which the host hears of it. */
-        void cancel() {
+        @Override
+        public void cancel() {
             stop(Outcome.REVOKED);
         }
 
--- /dev/null
+++ b/src/main/java/mastdrift/net/HttpCall.java
@@ -0,0 +1,13 @@
+package mastdrift.net;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import mastdrift.engine.Call;
+
+/** A client's request as it came; holds one reference to it. */
+record HttpCall(FullHttpRequest message) implements Call {
+
+    @Override
+    public void release() {
+        message.release();
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/net/HttpTransport.java
@@ -0,0 +1,88 @@
+package mastdrift.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import mastdrift.Balancer.LoadReport;
+import mastdrift.Balancer.Reports;
+import mastdrift.Balancer.Settings;
+import mastdrift.engine.Call;
+import mastdrift.engine.Member;
+import mastdrift.engine.Transport;
+
+/** HTTP/1.1 towards hosts: what of a client's request goes on, what a probe is, and where load reports are. */
+public final class HttpTransport implements Transport {
+
+    // A probe is answered beside the queue: no answer by then is none.
+    private static final long PROBE_TIMEOUT = 250_000;
+    private static final String[] PASSED_ON = {"X-Trace-Id", "Idempotency-Key"};
+
+    private final HostPool hosts;
+    private final Reports reports;
+
+    /** Holds {@code connections} to all hosts together; {@code clock} is in microseconds. */
+    public HttpTransport(EventLoop loop, LongSupplier clock, Settings settings, int connections, Consumer<String> faults) {
+        reports = settings.habits().reports();
+        hosts = new HostPool(loop, clock, settings.links().dialTimeout(), settings.links().idle(),
+                settings.rules().drainGrace(), connections, faults);
+    }
+
+    @Override
+    public Attempt send(String uid, Call call, long timeout, Ended ended) {
+        return hosts.send(uid, onward(((HttpCall) call).message()), timeout, (outcome, answer) -> {
+            boolean given = answer != null && reports == Reports.INLINE;
+            ended.ended(outcome, answer == null ? null : new HttpAnswer(answer),
+                    given ? LoadReports.parse(answer.headers().get("Endpoint-Load-Metrics")) : LoadReport.NONE);
+        });
+    }
+
+    private static FullHttpRequest onward(FullHttpRequest from) {
+        ByteBuf body = from.content().retainedDuplicate();
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), body);
+        for (String name : PASSED_ON) {
+            if (from.headers().contains(name)) {
+                message.headers().set(name, from.headers().get(name));
+            }
+        }
+        if (body.isReadable() || from.method().equals(HttpMethod.POST)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        if (from.headers().contains(HttpHeaderNames.CONTENT_TYPE)) {
+            message.headers().set(HttpHeaderNames.CONTENT_TYPE, from.headers().get(HttpHeaderNames.CONTENT_TYPE));
+        }
+        return message;
+    }
+
+    @Override
+    public void probe(String uid, Probed probed) {
+        boolean given = reports != Reports.OFF;
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                given ? "/status/load" : "/health");
+        hosts.send(uid, message, PROBE_TIMEOUT, (outcome, answer) -> probed.probed(outcome,
+                answer == null || !given ? LoadReport.NONE
+                        : LoadReports.parse(answer.content().toString(StandardCharsets.UTF_8))));
+    }
+
+    @Override
+    public void update(boolean all, List<Member> members) {
+        hosts.update(all, members);
+    }
+
+    @Override
+    public void closeIdle(String uid) {
+        hosts.closeIdle(uid);
+    }
+
+    @Override
+    public void close() {
+        hosts.close();
+    }
+}
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -38,8 +38,9 @@
         try {
             Config config = Config.read(System.getenv());
             Rehearsal.play(config, loop(), System.out);
-            ClientSide clients = start(config, loop, System.out);
-            started.complete(clients.gateway());
+            Started now = start(config, loop, System.out);
+            ClientSide clients = now.clients();
+            started.complete(now.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
@@ -67,21 +68,30 @@
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
+    /** A gateway and its front. */
+    record Started(Gateway gateway, ClientSide clients) {
+
+        /** On the loop's thread. */
+        static Started with(Config config, EventLoop loop, int hostConnections, int openMost, int clients, PrintStream out) {
+            Gateway gateway = new Gateway(config, loop, new Balance(), hostConnections, openMost, out);
+            return new Started(gateway, new ClientSide(loop, gateway.ledger(), gateway, config.settings().classes(),
+                    config.settings().tenants(), clients, gateway::log));
+        }
+    }
+
     /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
-    static ClientSide start(Config config, EventLoop loop, PrintStream out) {
+    static Started start(Config config, EventLoop loop, PrintStream out) {
         // Of the clients' half, an eighth is for answering those that come beyond the requests held.
         int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
-        ClientSide clients = CompletableFuture.supplyAsync(() -> {
-            Gateway gateway = new Gateway(config, loop, new Balance(), most, most - most / 8, out);
-            return new ClientSide(loop, gateway, config.settings(), most);
-        }, loop).join();
-        ChannelFuture bound = clients.listen(config.listen()).awaitUninterruptibly();
+        Started started = CompletableFuture.supplyAsync(
+                () -> Started.with(config, loop, most, most - most / 8, most, out), loop).join();
+        ChannelFuture bound = started.clients().listen(config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IllegalArgumentException("no listening on " + config.listen() + ": " + bound.cause().getMessage(),
                     bound.cause());
         }
-        out.println("listening on " + clients.address());
-        return clients;
+        out.println("listening on " + started.clients().address());
+        return started;
     }
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -28,11 +28,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import mastdrift.Balance;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
+import mastdrift.engine.Member;
 
 /** Loads and compiles the path of a request before the first one comes: a cold virtual machine takes 5 ms of its core
     for each at first, so that requests would queue past their time. A second gateway, on the same address and on a
@@ -59,12 +59,12 @@
                         }
                     }).bind(any).sync().channel();
             InetSocketAddress at = (InetSocketAddress) host.localAddress();
-            List<HostList.Entry> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new HostList.Entry(
+            List<Member> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new Member(
                     new Host("rehearsal-" + i, config.settings().site().zone(), 0, "", 1, Health.UP, 0), at)).toList();
             Config rehearsed = new Config(any, at, config.sockets(), new HostList(0, true, hosts), config.settings());
             PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
-            ClientSide clients = CompletableFuture.supplyAsync(() -> new ClientSide(loop, new Gateway(rehearsed, loop,
-                    new Balance(), HOSTS * 2, HOSTS, silent), config.settings(), HOSTS), loop).join();
+            ClientSide clients = CompletableFuture.supplyAsync(
+                    () -> Main.Started.with(rehearsed, loop, HOSTS * 2, HOSTS, HOSTS, silent), loop).join().clients();
             clients.listen(any).sync();
             ask(clients.address(), config);
         } catch (IOException e) {
--- a/src/main/java/mastdrift/wire/Facts.java
+++ b/src/main/java/mastdrift/settings/Facts.java
@@ -1,4 +1,4 @@
-package mastdrift.wire;
+package mastdrift.settings;
 
 import mastdrift.Balancer.Cpu;
 import mastdrift.Balancer.Goal;
@@ -17,7 +17,6 @@
 import mastdrift.Balancer.Value;
 import mastdrift.Balancer.Weights;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -31,18 +30,6 @@
         this.values = values;
     }
 
-    static Facts read(Fields fields) {
-        Map<String, String> values = new HashMap<>();
-        for (String pair : fields.rest()) {
-            int eq = pair.indexOf('=');
-            if (eq < 0) {
-                throw fields.expected("settings as path=value, not " + pair);
-            }
-            values.put(pair.substring(0, eq), pair.substring(eq + 1));
-        }
-        return new Facts(values);
-    }
-
     /** Settings that a module can't do without are required; the others have a default that changes nothing.
         Throws IllegalArgumentException that names what it lacks. */
     public Settings settings(long seed) {
--- a/src/main/java/mastdrift/wire/Adapter.java
+++ b/src/main/java/mastdrift/wire/Adapter.java
@@ -6,6 +6,7 @@
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.LoadReport;
 import mastdrift.Balancer.Outcome;
+import mastdrift.settings.Facts;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -19,8 +20,6 @@
 /** Speaks the wire: reads batches of events, hosts one module an instance, prints their actions. */
 final class Adapter {
 
-    private static final LoadReport NO_REPORT = report(new double[] {
-        Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN});
     private static final List<String> REPORT_NAMES =
             List.of("active", "waiting", "cpu", "avg_ms", "rps", "err_rps");
 
@@ -102,7 +101,7 @@
     }
 
     private static Balancer.Settings settings(Fields f, long seed) {
-        Facts facts = Facts.read(f);
+        Facts facts = facts(f);
         try {
             return facts.settings(seed);
         } catch (IllegalArgumentException e) {
@@ -110,6 +109,19 @@
         }
     }
 
+    /** The rest of the line: paths and their values. */
+    static Facts facts(Fields f) {
+        Map<String, String> values = new HashMap<>();
+        for (String pair : f.rest()) {
+            int eq = pair.indexOf('=');
+            if (eq < 0) {
+                throw f.expected("settings as path=value, not " + pair);
+            }
+            values.put(pair.substring(0, eq), pair.substring(eq + 1));
+        }
+        return new Facts(values);
+    }
+
     /** Reads the whole event before the module hears of it. */
     private Runnable read(String tag, String name, Fields f) throws IOException {
         Balancer module = instances.get(name);
@@ -244,7 +256,7 @@
     private static LoadReport metrics(Fields f) {
         String text = f.optional();
         if (text == null) {
-            return NO_REPORT;
+            return LoadReport.NONE;
         }
         double[] values = new double[REPORT_NAMES.size()];
         java.util.Arrays.fill(values, Double.NaN);
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -10,7 +10,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
@@ -25,6 +24,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import mastdrift.Balancer;
+import mastdrift.engine.Answer;
+import mastdrift.engine.Ask;
+import mastdrift.engine.Client;
 import mastdrift.net.Loopback.Server;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -44,9 +46,9 @@
     private final List<String> events = new CopyOnWriteArrayList<>();
     private Balancer.Actions actions;
 
-    private final Gateway.Client client = new Gateway.Client() {
+    private final Client client = new Client() {
         @Override
-        public void served(FullHttpResponse answer) {
+        public void served(Answer answer) {
             answers.add("served");
         }
 
@@ -81,9 +83,13 @@
                 });
         try (Server discovery = discovery()) {
             Config config = Config.read(environment(folder, discovery, list(1, true), SETTINGS));
-            loop.submit(() -> new Gateway(config, loop, module, 8, 8, new PrintStream(log, true,
-                    StandardCharsets.UTF_8)).take(client, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    HttpMethod.GET, "/api"), "read", "acme", null, left, false, 0)).sync();
+            loop.submit(() -> {
+                Gateway gateway = new Gateway(config, loop, module, 8, 8,
+                        new PrintStream(log, true, StandardCharsets.UTF_8));
+                gateway.ledger().take(gateway.pool(null, null, null, null), client, new HttpCall(
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api")),
+                        new Ask("read", "acme", null, left, false, false, 0));
+            }).sync();
         }
     }
 
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -71,7 +71,8 @@
     }
 
     private static void update(HostPool pool, String json) throws Exception {
-        pool.update(HostList.parse(JSON.std.anyFrom(json)));
+        HostList list = HostList.parse(JSON.std.anyFrom(json));
+        pool.update(list.all(), list.entries());
     }
 
     private HostPool.Attempt send(HostPool pool, String uid) {
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -268,7 +268,7 @@
                 });
                 Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
             Message before = await(discovery.received);
-            node.loop.submit(() -> node.clients.gateway().discoverAt(Loopback.at(moved))).sync();
+            node.loop.submit(() -> node.gateway.discoverAt(Loopback.at(moved))).sync();
             await(moved.received);
             Message watch = await(moved.received);
             assertFalse(node.log.toString(StandardCharsets.UTF_8).contains("discovery failed"));
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -204,11 +204,15 @@
 
         final EventLoop loop = Main.loop();
         final ByteArrayOutputStream log = new ByteArrayOutputStream();
+        final Gateway gateway;
         final ClientSide clients;
         private final List<Socket> sockets = new ArrayList<>();
 
         Node(Map<String, String> environment) {
-            clients = Main.start(Config.read(environment), loop, new PrintStream(log, true, StandardCharsets.UTF_8));
+            Main.Started started =
+                    Main.start(Config.read(environment), loop, new PrintStream(log, true, StandardCharsets.UTF_8));
+            gateway = started.gateway();
+            clients = started.clients();
         }
 
         Socket connect() throws IOException {
