--- /dev/null
+++ b/src/test/java/mastdrift/membership/GuardsTest.java
@@ -0,0 +1,113 @@
+package mastdrift.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mastdrift.Balancer.Health;
+import mastdrift.Balancer.Host;
+import mastdrift.membership.Guards.Guard;
+import mastdrift.membership.Guards.Limits;
+import mastdrift.membership.Guards.Trip;
+import mastdrift.membership.Overrides.Override;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Lists that can be read and can't be meant, and the lines that let one through. */
+class GuardsTest {
+
+    private static final Limits ALL_MAY = new Limits(1, 1, true, true);
+
+    /** {@code "b6 o4 !b1"}: six hosts in bilbao, four in oviedo, one in bilbao that takes nothing; numbered from 0 by zone,
+        {@code b6-2} begins at 2. */
+    private static PoolList list(String text) {
+        List<Listed> hosts = new ArrayList<>();
+        for (String part : text.isBlank() ? new String[0] : text.split(" ")) {
+            boolean takes = !part.startsWith("!");
+            String[] counts = part.substring(takes ? 1 : 2).split("-");
+            String zone = part.substring(takes ? 0 : 1).startsWith("b") ? "bilbao" : "oviedo";
+            int from = counts.length > 1 ? Integer.parseInt(counts[1]) : 0;
+            for (int i = from; i < from + Integer.parseInt(counts[0]); i++) {
+                hosts.add(new Listed(new Host(zone + i, zone, 0, "", 1, takes ? Health.UP : Health.LEAVING, 0),
+                        "127.0.0.1:" + hosts.size(), ""));
+            }
+        }
+        return new PoolList("p", hosts, List.of());
+    }
+
+    private static String trips(Limits limits, String before, String after) {
+        return String.join(" ", Guards.trips(limits, before == null ? null : list(before), list(after)).stream()
+                .map(trip -> trip.guard().word()).sorted().toList());
+    }
+
+    @ParameterizedTest
+    @CsvSource(nullValues = "start", value = {
+        "b6 o4, b6 o4, ''",
+        "b6 o4, b3 o4, ''",
+        "b6 o4, b1 o4, zone-drop",                       // 5 of 6 in bilbao, 5 of 10 in all
+        "b6 o4, b0 o4, pool-drop zone-drop zone-empty",
+        "b6 o4, b6, zone-drop zone-empty",               // a list that drops every node in oviedo
+        "b6 o4, !b6 !o4, pool-drop weight-zero zone-drop zone-drop zone-empty zone-empty",
+        "b6 o4, '', pool-drop zone-drop zone-drop zone-empty zone-empty",
+        "b6 o4, b6-6 o4-4, pool-drop zone-drop zone-drop",  // the same number under other uids
+        "b6 o4, b6 o4 b90-6, ''",
+        "b2, b1, ''", "b1, !b1, pool-drop weight-zero zone-empty",
+        "b2 o2, b2 o1 !o1-1, ''", "b2 o2, b2 !o2, zone-empty",  // two of four are the half that may go
+        "start, b1, ''", "start, !b2, weight-zero", "start, '', ''", "'', b6, ''", "!b4, !b4, weight-zero"})
+    void theUsualGuards(String before, String after, String expected) {
+        assertEquals(expected, trips(Limits.USUAL, before, after));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"b6 o4, ''", "b6 o4, !b6 !o4", "b6 o4, b6"})
+    void whereAllMayGoNoGuardSpeaks(String before, String after) {
+        assertEquals("", trips(ALL_MAY, before, after));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.2, b8 o10, ''", "0.09, b8 o10, pool-drop", "0, b9 o10, pool-drop", "0, b10 o10, ''"})
+    void thePartThatMayGoIsASetting(double most, String after, String expected) {
+        assertEquals(expected, trips(new Limits(most, 1, false, false), "b10 o10", after));
+    }
+
+    private final Overrides overrides = new Overrides();
+
+    private static Trip trip(Guard guard) {
+        return new Trip(guard, "p", "why");
+    }
+
+    private List<Trip> left(String version, Override... lines) {
+        return overrides.left(List.of(trip(Guard.POOL_DROP)), List.of(lines), Map.of("p", version));
+    }
+
+    @Test
+    void anOverrideIsForItsGuardItsPoolAndItsVersion() {
+        assertEquals(0, left("v1", new Override(Guard.POOL_DROP, "p", "v1", "here")).size());
+        assertEquals(1, left("v2", new Override(Guard.POOL_DROP, "p", "v1", "here")).size());
+        assertEquals(1, left("v1", new Override(Guard.ZONE_DROP, "p", "v1", "here")).size());
+        assertEquals(1, left("v1", new Override(Guard.POOL_DROP, "q", "v1", "here")).size());
+        assertEquals(1, left("v1").size());
+    }
+
+    /** Guards against a line that is left in the file and lets the same mistake through a month later. */
+    @Test
+    void anOverrideIsGoodOnce() {
+        Override line = new Override(Guard.POOL_DROP, "p", "v1", "here");
+        assertEquals(0, left("v1", line).size());
+        overrides.use(Set.of(trip(Guard.POOL_DROP)), Map.of("p", "v1"));
+        assertEquals(1, left("v1", line).size());
+    }
+
+    @Test
+    void whatWasUsedIsRememberedWithinABound() {
+        Override line = new Override(Guard.POOL_DROP, "p", "v0", "here");
+        for (int i = 0; i <= Overrides.USED_MOST; i++) {
+            assertEquals(i == 0 ? 0 : 1, left("v0", line).size());
+            overrides.use(List.of(trip(Guard.POOL_DROP)), Map.of("p", "v" + i));
+        }
+        assertEquals(0, left("v0", line).size(), "the eldest was forgotten");
+    }
+}
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -70,9 +70,9 @@
         });
     }
 
-    private static void update(HostPool pool, String json) throws Exception {
+    private void update(HostPool pool, String json) throws Exception {
         HostList list = HostList.parse(JSON.std.anyFrom(json));
-        pool.update(list.all(), list.entries());
+        pool.update(list.all(), list.entries(), clock.get());
     }
 
     private HostPool.Attempt send(HostPool pool, String uid) {
--- /dev/null
+++ b/src/test/java/mastdrift/routing/RoutingTest.java
@@ -0,0 +1,185 @@
+package mastdrift.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import mastdrift.routing.Route.Target;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Routes, weights by key, fallbacks and pins. */
+class RoutingTest {
+
+    private static final int KEYS = 20_000;
+
+    private static Traits traits(String className, String tenant, String path, String zone, long key) {
+        return new Traits(className, tenant, path, zone, key,
+                name -> name.equalsIgnoreCase("X-Canary") ? List.of("0", "1") : List.of());
+    }
+
+    private static Traits keyed(long key) {
+        return traits("start", "acme", "/api", "bilbao", key);
+    }
+
+    private static Route route(String name, Match match, String fallback, Target... targets) {
+        return new Route(name, match, List.of(targets), fallback);
+    }
+
+    private static RouteTable split(double a, double b) {
+        return new RouteTable(List.of(route("all", Match.ANY, null, new Target("a", a), new Target("b", b))));
+    }
+
+    /** Each part of a match narrows it, and a path ends with a segment. */
+    @ParameterizedTest
+    @CsvSource(nullValues = "-", value = {
+        "start, -, -, -, -, -, true", "read, -, -, -, -, -, false", "-, acme, -, -, -, -, true",
+        "-, other, -, -, -, -, false", "-, -, /api, -, -, -, true", "-, -, /api/x, -, -, -, true",
+        "-, -, /api/x/, -, -, -, true", "-, -, /api/xy, -, -, -, false", "-, -, /ap, -, -, -, false",
+        "-, -, /, -, -, -, true", "-, -, -, x-canary, 1, -, true", "-, -, -, X-Canary, 2, -, false",
+        "-, -, -, X-Canary, -, -, true", "-, -, -, X-Other, -, -, false", "-, -, -, -, -, bilbao, true",
+        "-, -, -, -, -, oviedo, false", "start, acme, /api, X-Canary, 0, bilbao, true",
+        "start, acme, /api, X-Canary, 0, oviedo, false"})
+    void aMatchFitsWhereAllOfItDoes(String className, String tenant, String path, String header, String value, String zone,
+            boolean fits) {
+        Match match = new Match(className, tenant, path, header, value, zone);
+        assertEquals(fits, match.fits(traits("start", "acme", "/api/x/y", "bilbao", 1)));
+    }
+
+    @Test
+    void theFirstRouteThatMatchesDecides() {
+        RouteTable table = new RouteTable(List.of(
+                route("one", new Match("read", null, null, null, null, null), null, new Target("a", 1)),
+                route("two", new Match(null, "acme", null, null, null, null), null, new Target("b", 1)),
+                route("three", Match.ANY, null, new Target("c", 1))));
+        assertEquals("a", table.pool(traits("read", "acme", "/api", "bilbao", 1), pool -> true));
+        assertEquals("b", table.pool(keyed(1), pool -> true));
+        assertEquals("c", table.pool(traits("start", null, "/api", "bilbao", 1), pool -> true));
+        assertNull(new RouteTable(List.of()).pool(keyed(1), pool -> true));
+    }
+
+    @Test
+    void aRouteWithoutAnyWeightIsNone() {
+        assertThrows(IllegalArgumentException.class, () -> route("r", Match.ANY, null, new Target("a", 0)));
+        assertThrows(IllegalArgumentException.class, () -> new Target("a", -1));
+        assertThrows(IllegalArgumentException.class, () -> new Target("a", Double.NaN));
+    }
+
+    /** Three standard deviations of a binomial share of 20,000 keys are about 0.01. */
+    @ParameterizedTest
+    @CsvSource({"1, 1, 0.5", "9, 1, 0.9", "0.02, 0.01, 0.667", "1, 0, 1", "0, 5, 0"})
+    void keysAreSplitByWeight(double a, double b, double part) {
+        RouteTable table = split(a, b);
+        long toA = new SplittableRandom(1).longs(KEYS).filter(key -> table.pool(keyed(key), p -> true).equals("a")).count();
+        assertEquals(part, toA / (double) KEYS, 0.012);
+    }
+
+    /** Guards against keys that move between pools whose weights stayed: their hosts' memory of them would be lost. */
+    @Property(tries = 200, seed = "41")
+    void aChangedWeightMovesKeysOnlyToOrFromItsPool(@ForAll long key, @ForAll @DoubleRange(min = 0.01, max = 100) double a,
+            @ForAll @DoubleRange(min = 0.01, max = 100) double before, @ForAll @DoubleRange(min = 0, max = 100) double after,
+            @ForAll @IntRange(min = 1, max = 6) int others) {
+        String old = table(a, before, others).pool(keyed(key), pool -> true);
+        String now = table(a, after, others).pool(keyed(key), pool -> true);
+        boolean moved = !old.equals(now);
+        assertTrue(!moved || (after > before ? now.equals("changed") : old.equals("changed")), old + " to " + now);
+    }
+
+    private static RouteTable table(double a, double changed, int others) {
+        Target[] targets = new Target[others + 1];
+        targets[0] = new Target("changed", changed);
+        for (int i = 1; i <= others; i++) {
+            targets[i] = new Target("p" + i, a);
+        }
+        return new RouteTable(List.of(route("all", Match.ANY, null, targets)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'main,spare', main", "spare, spare", "main, main", "'', main"})
+    void theFallbackIsForAPoolWithNobody(String somebody, String chosen) {
+        RouteTable table = new RouteTable(List.of(route("all", Match.ANY, "spare", new Target("main", 1))));
+        assertEquals(chosen, table.pool(keyed(1), Set.of(somebody.split(","))::contains));
+    }
+
+    /** Guards against a session-start that runs in both pools: its repeat after a change goes where it went. */
+    @Test
+    void aKeyedRequestsRepeatGoesWhereItWentWhateverTheRoutesSay() {
+        Router router = new Router(100);
+        router.swap(split(1, 0));
+        assertEquals("a", router.keyed(0, keyed(7), 1000, pool -> true));
+        router.swap(split(0, 1));
+        assertEquals("a", router.keyed(500, keyed(7), 1500, pool -> false), "nobody left there: it is for that pool to refuse");
+        assertEquals("b", router.keyed(500, keyed(8), 1500, pool -> true), "another key");
+        assertTrue(router.holds(1400, "a"));
+        assertEquals("a", router.keyed(1400, keyed(7), 1450, pool -> true), "the longer time counts");
+        assertEquals("b", router.keyed(1500, keyed(7), 2500, pool -> true), "its window is over");
+        assertEquals("b", router.pool(keyed(7), pool -> true), "safe requests are not pinned");
+    }
+
+    @Test
+    void aKeyOfAnotherClassIsAnotherKey() {
+        Router router = new Router(100);
+        router.swap(split(1, 0));
+        router.keyed(0, keyed(7), 1000, pool -> true);
+        router.swap(split(0, 1));
+        assertEquals("b", router.keyed(1, traits("stop", "acme", "/api", "bilbao", 7), 1000, pool -> true));
+    }
+
+    @Test
+    void beyondItsBoundTheEldestPinGoes() {
+        Pins pins = new Pins(3);
+        for (int key = 0; key < 3; key++) {
+            pins.pin(key, key, "a", 1000);
+        }
+        pins.pin(3, 0, "a", 1000);  // met again: no longer the eldest
+        pins.pin(4, 3, "a", 1000);
+        assertEquals(3, pins.size());
+        assertNull(pins.pool(5, 1));
+        assertEquals("a", pins.pool(5, 0));
+    }
+
+    @Test
+    void expiredPinsLeave() {
+        Pins pins = new Pins(1000);
+        for (int key = 0; key < 100; key++) {
+            pins.pin(key, key, "a", key + 10);
+        }
+        assertTrue(pins.size() <= 11, "held: " + pins.size());
+        assertTrue(!pins.holds(200, "a"));
+    }
+
+    /** A model: the pool of a keyed request is that of its last pin while that lives, else that of the table. */
+    @Property(tries = 100, seed = "41")
+    void pinsAreKeptThroughManySteps(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Router router = new Router(1000);
+        Map<Long, String> pools = new HashMap<>();
+        Map<Long, Long> until = new HashMap<>();
+        RouteTable table = split(1, 1);
+        router.swap(table);
+        for (long now = 0; now < 3000; now += random.nextInt(20)) {
+            if (random.nextInt(20) == 0) {
+                table = split(random.nextInt(3), 1 + random.nextInt(3));
+                router.swap(table);
+            }
+            long key = random.nextInt(30);
+            long ends = now + random.nextInt(200);
+            boolean lives = until.getOrDefault(key, 0L) > now;
+            String expected = lives ? pools.get(key) : table.pool(keyed(key), pool -> true);
+            assertEquals(expected, router.keyed(now, keyed(key), ends, pool -> true));
+            until.put(key, lives ? Math.max(until.get(key), ends) : ends);
+            pools.put(key, expected);
+        }
+    }
+}
