Module: weights count from the first moment, and the one host of many is found

Seen, with weights and long lists from files: a pool of 10,000 nodes of which one takes requests refused them (64 draws from a table of all hosts miss it), and until the first refresh, half a second, a host of weight 0.1 got as much as one of weight 1.

Cause: a draw accepts a place with chance share / largest share, but a new host's share was 0.5 whatever its weight and the largest share was 0 before the first refresh; and nothing came after the draws. Now a new host begins with half its weight, the largest share is known once hosts are, and where no draw found anybody every host is looked at by weighted rendezvous. Without weights, as on the platform, the first two change nothing.

Tests: one of 2,000 hosts is found; a host with four fifths of the weight of 501 gets its part.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -482,10 +482,14 @@
             return 0;
         }
         double near = server.host.zone().equals(settings.site().zone()) ? 1 : AWAY;
-        double size = near * server.kind.size * (weighted ? server.host.weight() : 1);
+        double size = near * server.kind.size * size(server.host);
         return (theta - server.respTime) / theta * size * warmth(now, server) * server.serving;
     }
 
+    private double size(Host host) {
+        return weighted ? host.weight() : 1;
+    }
+
     private double queue(long now, Server server) {
         return now - server.queueAt < REPORT_FRESH ? server.queue : 0;
     }
@@ -515,7 +519,26 @@
                 leastBurden = burden;
             }
         }
-        return least;
+        return found == 0 ? search(now, req) : least;
+    }
+
+    /** Draws find nobody where most servers of a long list take nothing, or one has nearly all of the weight.
+        Then every server is looked at: the lowest -ln(u) / share wins, with u from the key (weighted
+        rendezvous, as in routing), so that gateways still agree and parts are as the shares say. */
+    private Server search(long now, Held req) {
+        Server best = null;
+        double lowest = Double.MAX_VALUE;
+        for (Server server : servers.values()) {
+            if (server.share > 0 && maySend(now, req, server)) {
+                long hash = mix(req.key ^ mix(server.host.address().hashCode()));
+                double score = -Math.log(((hash >>> 11) + 0.5) * 0x1.0p-53) / server.share;
+                if (score < lowest) {
+                    lowest = score;
+                    best = server;
+                }
+            }
+        }
+        return best;
     }
 
     /** What a server holds with one more, against its part by share of what all hold; small counts pass.
@@ -916,7 +939,7 @@
         if (server == null || host.born() > server.host.born()) {
             server = new Server(SAMPLES);
             server.answeredAt = now;
-            server.share = 0.5;
+            server.share = 0.5 * size(host);
         }
         boolean fresh = server != known;
         server.host = host;
@@ -926,5 +949,6 @@
             chill(now, server, host.born(), settings.rules().warmWithin());
             server.share = 0;
         }
+        shareMost = Math.max(shareMost, server.share);  // or until the next refresh weights would not count
     }
 }
--- a/src/test/java/mastdrift/DrawTest.java
+++ b/src/test/java/mastdrift/DrawTest.java
@@ -3,13 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.Outcome;
+import mastdrift.Balancer.Weights;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
@@ -89,4 +92,39 @@
                 .filter(s -> Integer.parseInt(s.address().substring(1)) % 2 == 0).count();
         assertTrue(own > 600 && own < 900, "to the own zone " + own + " of 1000");
     }
+
+    private static Host host(int number, double weight, Health health) {
+        return new Host("h" + number, "z0", 0, "std", weight, health, 0);
+    }
+
+    /** Guards against refusals with a sound host at hand: draws alone miss one that takes requests among many that
+        don't. */
+    @Test
+    void theOneHostOfManyThatTakesRequestsIsFound() {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < 2000; i++) {
+            hosts.add(host(i, 1, i == 1234 ? Health.UP : Health.LEAVING));
+        }
+        assertEquals(Set.of("h1234"), Set.copyOf(placed(hosts, 300).values()));
+    }
+
+    /** Likewise where one host has nearly all of the weight, and the parts are still as the weights say. */
+    @Test
+    void partsFollowVeryUnevenWeights() {
+        Gateway gateway = new Gateway();
+        gateway.weights = Weights.NOMINAL;
+        List<Host> hosts = new ArrayList<>(List.of(host(0, 1, Health.UP)));
+        for (int i = 1; i <= 500; i++) {
+            hosts.add(host(i, 0.0005, Health.UP));
+        }
+        gateway.module.start(gateway.now, gateway.settings(), gateway);
+        gateway.module.hosts(gateway.now, ListForm.CACHED, hosts);
+        for (long key = 0; key < 2000; key++) {
+            gateway.request(key);
+            gateway.end(gateway.last(), Outcome.DELIVERED, 10_000);
+        }
+        assertEquals(2000, gateway.sent.size());
+        double part = gateway.sent.stream().filter(s -> s.address().equals("h0")).count() / 2000.0;
+        assertTrue(part > 0.7 && part < 0.9, "four fifths of the weight got " + part);
+    }
 }
--- a/src/test/java/mastdrift/Gateway.java
+++ b/src/test/java/mastdrift/Gateway.java
@@ -64,6 +64,7 @@
     boolean retryAfter = true;
     int gateways = 1;
     long mustAskIn;
+    Weights weights = Weights.OFF;
     List<Tenant> tenants = List.of();
     List<RequestClass> classes;
 
@@ -78,7 +79,7 @@
                 new Rules(20_000, 250_000, mustAskIn, 0.2, 10_000_000, 3, 2_000_000),
                 new Value(new Goal(1, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0.01, 0, 0, 0, 0, 0), 0.05, false),
                 new Site(0, gateways, "z0", List.of("z0", "z1"), List.of("std"), 0, List.of("servers")),
-                new Habits(true, false, Reports.OFF, List.of(), false), mustAskIn > 0, Weights.OFF, "proxy",
+                new Habits(true, false, Reports.OFF, List.of(), false), mustAskIn > 0, weights, "proxy",
                 1_000, 42);
     }
 
