Module: search all hosts only where the list itself is sparse

Draws that find nobody mean one of two things: the list is such that draws miss hosts (nearly all take nothing, or one has nearly all of the weight), or few may be sent to just now. The first shows in the shares: fewer than 8 of 64 draws are expected to fit. Only then every host is looked at.

Tests: those of the search pass, the rest too.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -59,6 +59,7 @@
     private static final int CANDIDATES = 6;            // draws within S* before the least burdened is taken
     private static final int PLACES = 4096;             // of the table: enough for even parts of 500 servers
     private static final int DRAWS = 64;                // draws in all, a bound on the work a request costs
+    private static final double SURE = 8;               // draws expected to fit: one in 3,000 finds none
     private static final double RETRY_SHARE = 0.1;      // retry budget: of the requests that came in
     private static final double PROBE_SHARE = 0.02;     // probe budget: likewise
     private static final double BUDGET_MOST = 20;       // what an unused budget may save up
@@ -106,6 +107,7 @@
     private Server[] table = new Server[0];
     private double shareSum;
     private double shareMost;
+    private boolean sparse;
     private double queueSum;
     private int outSum;
     private double recentSum;
@@ -432,6 +434,7 @@
             server.recent *= fade;
             recentSum += server.recent;
         }
+        setSparse(shareSum);
         long known = servers.values().stream().filter(s -> s.ownCount + s.ownFailures > 0).count();
         manyFull = servers.values().stream().filter(s -> full(now, s)).count() > MANY * known;
         setPressure(now);
@@ -519,12 +522,13 @@
                 leastBurden = burden;
             }
         }
-        return found == 0 ? search(now, req) : least;
+        return found == 0 && sparse ? search(now, req) : least;
     }
 
-    /** Draws find nobody where most servers of a long list take nothing, or one has nearly all of the weight.
-        Then every server is looked at: the lowest -ln(u) / share wins, with u from the key (weighted
-        rendezvous, as in routing), so that gateways still agree and parts are as the shares say. */
+    /** For lists that are sparse: most servers take nothing, or few have nearly all of the weight, so that
+        draws may miss them. Every server is looked at: the lowest -ln(u) / share wins, with u from the key
+        (weighted rendezvous, as in routing), so that gateways still agree and parts are as the shares say.
+        Elsewhere draws that find nobody say that few may be sent to, and all that comes would crush those. */
     private Server search(long now, Held req) {
         Server best = null;
         double lowest = Double.MAX_VALUE;
@@ -928,6 +932,14 @@
         }
         hosts.forEach(host -> admit(now, host, before.get(host.address())));
         seat();
+        // Or until the next refresh weights would not count.
+        shareMost = Math.max(shareMost, servers.values().stream().mapToDouble(s -> s.share).max().orElse(0));
+        setSparse(servers.values().stream().mapToDouble(s -> s.share).sum());
+    }
+
+    /** Whether the draws for a request are too few to be sure of one that fits by its share alone. */
+    private void setSparse(double sum) {
+        sparse = DRAWS * sum < SURE * shareMost * servers.size();
     }
 
     private void admit(long now, Host host, Server known) {
@@ -949,6 +961,5 @@
             chill(now, server, host.born(), settings.rules().warmWithin());
             server.share = 0;
         }
-        shareMost = Math.max(shareMost, server.share);  // or until the next refresh weights would not count
     }
 }
