--- a/src/test/java/mastdrift/ArchitectureTest.java
+++ b/src/test/java/mastdrift/ArchitectureTest.java
@@ -23,7 +23,7 @@
     private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings"),
             List.of("mastdrift.membership", "mastdrift.routing"), List.of("mastdrift.config"), List.of("mastdrift.engine"),
             List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire"), List.of("mastdrift.serve", "mastdrift.standin"),
-            List.of("mastdrift.cli"));
+            List.of("mastdrift.cli", "mastdrift.measure"));
 
     private static final JavaClasses CLASSES = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("mastdrift");
