--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -933,8 +933,10 @@
         hosts.forEach(host -> admit(now, host, before.get(host.address())));
         seat();
         // Or until the next refresh weights would not count.
-        shareMost = Math.max(shareMost, servers.values().stream().mapToDouble(s -> s.share).max().orElse(0));
-        setSparse(servers.values().stream().mapToDouble(s -> s.share).sum());
+        double[] shares = servers.values().stream().filter(s -> s.host.health() == Health.UP)
+                .mapToDouble(s -> s.share).toArray();
+        shareMost = Math.max(shareMost, Arrays.stream(shares).max().orElse(0));
+        setSparse(Arrays.stream(shares).sum());
     }
 
     /** Whether the draws for a request are too few to be sure of one that fits by its share alone. */
