A long list goes in force without holding up the loop

Endpoints were parsed on the loop, the module's table was seated anew for every list, also where only weights changed, and had up to 64 places a host. Now hosts are made ready on the control thread, the table is seated where a host came, went or started anew, and grows by doubling beyond 512 hosts; below that, as on the platform, it is the same.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -579,7 +579,7 @@
         Arrays.sort(order, Comparator.comparing(server -> server.host.address()));
         int size = PLACES;
         while (size < 8 * order.length) {
-            size *= 8;
+            size *= 2;
         }
         table = new Server[order.length == 0 ? 0 : size];
         long[] next = new long[order.length];
@@ -931,7 +931,10 @@
             servers.clear();
         }
         hosts.forEach(host -> admit(now, host, before.get(host.address())));
-        seat();
+        if (before.size() != servers.size() || servers.values().stream()
+                .anyMatch(server -> server != before.get(server.host.address()))) {
+            seat();  // costs as much as thousands of requests where lists are long
+        }
         // Or until the next refresh weights would not count.
         double[] shares = servers.values().stream().filter(s -> s.host.health() == Health.UP)
                 .mapToDouble(s -> s.share).toArray();
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -164,12 +164,24 @@
         }
     }
 
+    /** A pool's hosts as its transport takes them: made on the control thread, so that the loop only puts them in place. */
+    private record Ready(List<Member> members, boolean somebody) {
+
+        static Map<String, Ready> of(Map<String, PoolList> lists) {
+            Map<String, Ready> ready = new TreeMap<>();
+            lists.forEach((name, list) -> ready.put(name, new Ready(list.hosts().stream()
+                    .map(host -> new Member(host.host(), Addresses.parse(host.endpoint()))).toList(), list.somebody())));
+            return ready;
+        }
+    }
+
     /** What control asks, on its thread; done on the loop, in order. */
     private final class Loop implements Control.Loop {
 
         @Override
         public void configured(Configuration next, Map<String, PoolList> changed, long toldAt) {
-            loop.submit(() -> configure(next, changed, toldAt)).syncUninterruptibly();
+            Map<String, Ready> ready = Ready.of(changed);
+            loop.submit(() -> configure(next, ready, toldAt)).syncUninterruptibly();
             Map<String, String> versions = next.versions();
             log("in force: " + next.pools().keySet().stream().map(pool -> pool + " " + versions.get(pool)).toList()
                     + ", " + next.routes().size() + " routes, changed pools " + changed.keySet());
@@ -177,7 +189,8 @@
 
         @Override
         public void listed(Map<String, PoolList> changed, long toldAt) {
-            loop.execute(() -> changed.forEach((name, list) -> learn(pools.get(name), list, toldAt)));
+            Map<String, Ready> ready = Ready.of(changed);
+            loop.execute(() -> ready.forEach((name, list) -> learn(pools.get(name), list, toldAt)));
             log("list by discovery or time: changed pools " + changed.keySet());
         }
 
@@ -188,7 +201,7 @@
     }
 
     /** One event of the loop: all of a change is in force once it returns, and nothing of it before. */
-    private void configure(Configuration next, Map<String, PoolList> changed, long toldAt) {
+    private void configure(Configuration next, Map<String, Ready> changed, long toldAt) {
         if (gateway == null) {
             gateway = next.gateway();
             status = gateway.statusFile() == null ? null : new StatusFile(file, gateway.statusFile());
@@ -209,13 +222,12 @@
         router.swap(new RouteTable(next.routes()));
     }
 
-    private static void learn(Served served, PoolList list, long toldAt) {
+    private static void learn(Served served, Ready list, long toldAt) {
         if (served == null || served.retired) {
             return;  // told while the pool was taken out
         }
         served.somebody = list.somebody();
-        served.pool.learn(ListForm.FULL, list.hosts().stream()
-                .map(host -> new Member(host.host(), Addresses.parse(host.endpoint()))).toList(), toldAt);
+        served.pool.learn(ListForm.FULL, list.members(), toldAt);
     }
 
     private Served open(Configuration next, PoolSettings settings) {
