Front and service count: a table and a hash in place of searches

Need: the old path's cost. The Host check searched a text for each character, and each answer was counted through a tree of texts.

--- a/src/main/java/mastdrift/engine/ServiceCount.java
+++ b/src/main/java/mastdrift/engine/ServiceCount.java
@@ -1,5 +1,6 @@
 package mastdrift.engine;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -28,7 +29,7 @@
         }
     }
 
-    private final Map<String, Of> classes = new TreeMap<>();
+    private final Map<String, Of> classes = new HashMap<>();
 
     /** The counts of a class, which go on counting. */
     public Of of(String className) {
@@ -42,7 +43,7 @@
 
     /** Classes that were met, by name. */
     public Map<String, Of> classes() {
-        return classes;
+        return new TreeMap<>(classes);
     }
 
     void served(String className) {
--- a/src/main/java/mastdrift/net/StrictDecoder.java
+++ b/src/main/java/mastdrift/net/StrictDecoder.java
@@ -43,6 +43,14 @@
         }
     }
 
+    private static final boolean[] HOST = new boolean['~' + 1];
+
+    static {
+        for (char c = '!'; c <= '~'; c++) {
+            HOST[c] = "/?#@,\\\"<>".indexOf(c) < 0;
+        }
+    }
+
     private boolean inHead = true;
     private boolean begun;  // the request line has been read
     private boolean folded;
@@ -137,9 +145,10 @@
 
     private static void host(List<String> hosts, boolean current) {
         require(hosts.size() == 1 || !current && hosts.isEmpty(), "other than one Host");
-        for (int i = 0; !hosts.isEmpty() && i < hosts.get(0).length(); i++) {
-            char c = hosts.get(0).charAt(i);
-            require(c > ' ' && c <= '~' && "/?#@,\\\"<>".indexOf(c) < 0, "a Host that is none");
+        String host = hosts.isEmpty() ? "" : hosts.get(0);
+        for (int i = 0; i < host.length(); i++) {
+            char c = host.charAt(i);
+            require(c < HOST.length && HOST[c], "a Host that is none");
         }
     }
 
