RADIUS: packets, authenticators, resends, identifiers; front and transport over UDP

Need: member chargers check RFID cards with RADIUS. This is the first part: the pure package (packets byte for byte and in order, request, response and message authenticators, hidden attributes hidden anew, resends by identity and by effect, identifiers that rest), and on it a front and a transport with the engine's ledger and pools.

--- /dev/null
+++ b/src/main/java/mastdrift/radius/Attribute.java
@@ -0,0 +1,69 @@
+package mastdrift.radius;
+
+import java.util.Arrays;
+
+/** One attribute as it stands in a packet: its type and the bytes of its value, not read any further (RFC 2865, 5). The value
+    is not copied; nobody changes it. */
+public record Attribute(int type, byte[] value) {
+
+    /** Types that the gateway reads or changes; all others are passed on as they are. */
+    public static final int USER_PASSWORD = 2;
+    /** RFC 2865, 5.3. */
+    public static final int CHAP_PASSWORD = 3;
+    /** RFC 2865, 5.4. */
+    public static final int NAS_IP_ADDRESS = 4;
+    /** RFC 2865, 5.24. */
+    public static final int STATE = 24;
+    /** RFC 2865, 5.26. */
+    public static final int VENDOR_SPECIFIC = 26;
+    /** RFC 2865, 5.32. */
+    public static final int NAS_IDENTIFIER = 32;
+    /** RFC 2865, 5.33. */
+    public static final int PROXY_STATE = 33;
+    /** RFC 2866, 5.1. */
+    public static final int ACCT_STATUS_TYPE = 40;
+    /** RFC 2866, 5.2. */
+    public static final int ACCT_DELAY_TIME = 41;
+    /** RFC 2866, 5.5. */
+    public static final int ACCT_SESSION_ID = 44;
+    /** RFC 2866, 5.7. */
+    public static final int ACCT_SESSION_TIME = 46;
+    /** RFC 2865, 5.40. */
+    public static final int CHAP_CHALLENGE = 60;
+    /** RFC 2868, 3.5. */
+    public static final int TUNNEL_PASSWORD = 69;
+    /** RFC 2869, 5.13; RFC 3579, 3.1. */
+    public static final int EAP_MESSAGE = 79;
+    /** RFC 2869, 5.14; RFC 3579, 3.2. */
+    public static final int MESSAGE_AUTHENTICATOR = 80;
+    /** RFC 3162, 2.1. */
+    public static final int NAS_IPV6_ADDRESS = 95;
+
+    /** The longest value: a length byte counts type and length too. */
+    public static final int VALUE_MOST = 253;
+
+    /** Throws IllegalArgumentException for a type over 255 or a value that is too long. */
+    public Attribute {
+        if (type < 0 || type > 255 || value.length > VALUE_MOST) {
+            throw new IllegalArgumentException("expected a type of 0 to 255 and at most " + VALUE_MOST + " bytes, found type "
+                    + type + " and " + value.length + " bytes");
+        }
+    }
+
+    /** By type and content. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Attribute attribute && type == attribute.type && Arrays.equals(value, attribute.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * type + Arrays.hashCode(value);
+    }
+
+    /** Its type and length alone: values may be secret. */
+    @Override
+    public String toString() {
+        return "attribute " + type + " of " + value.length + " bytes";
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/standin/StandInRadiusServer.java
@@ -0,0 +1,191 @@
+package mastdrift.standin;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import mastdrift.radius.Attribute;
+import mastdrift.radius.Authenticators;
+import mastdrift.radius.Code;
+import mastdrift.radius.MalformedPacketException;
+import mastdrift.radius.Packet;
+
+/** A RADIUS server by script on a loopback port: accepts every card, takes all accounting, tells resends by source, identifier
+    and authenticator, and answers them as before. */
+public final class StandInRadiusServer implements AutoCloseable {
+
+    /** What it does with a request. */
+    public enum Manner {
+        /** Runs and answers it. */
+        SERVE,
+        /** Runs it and says nothing. */
+        SILENT,
+        /** Runs it and first sends what is no answer: signed wrong, of another code, without Proxy-State; then the answer. */
+        LIE,
+        /** Runs it and answers twice. */
+        TWICE
+    }
+
+    private final String name;
+    private final Effects effects;
+    private final byte[] secret;
+    private final DatagramSocket socket;
+    private final ScheduledThreadPoolExecutor later = new ScheduledThreadPoolExecutor(1, task -> {
+        Thread thread = new Thread(task, "radius-server-later");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Map<String, byte[]> answered = new HashMap<>();
+    private final List<Packet> requests = new CopyOnWriteArrayList<>();
+    private final AtomicLong runs = new AtomicLong();
+    private volatile long lastAt;
+    private volatile long work;
+    private volatile Manner manner = Manner.SERVE;
+
+    /** Listens on a free port of 127.0.0.1; {@code work} in microseconds. Accounting effects are noted under its own name. */
+    public StandInRadiusServer(String name, Effects effects, byte[] secret, long work) throws IOException {
+        this.name = name;
+        this.effects = effects;
+        this.secret = secret.clone();
+        this.work = work;
+        socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+        Thread thread = new Thread(this::receive, "radius-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void receive() {
+        Authenticators own = new Authenticators(secret);
+        byte[] buffer = new byte[Packet.MOST];
+        while (!socket.isClosed()) {
+            try {
+                DatagramPacket datagram = new DatagramPacket(buffer, buffer.length);
+                socket.receive(datagram);
+                Packet request = Packet.read(Arrays.copyOf(buffer, datagram.getLength()));
+                if (own.signed(request, request.code() == Code.ACCESS_REQUEST)) {
+                    take(own, datagram, request);
+                }
+            } catch (IOException | MalformedPacketException e) {
+                continue;  // closed, or not for it
+            }
+        }
+    }
+
+    private void take(Authenticators own, DatagramPacket from, Packet request) throws IOException {
+        String identity = from.getSocketAddress() + "/" + request.identifier() + "/" + Arrays.toString(request.authenticator());
+        byte[] before = answered.get(identity);
+        if (before != null || answered.containsKey(identity)) {
+            if (before != null) {
+                reply(before, from);
+            }
+            return;
+        }
+        answered.put(identity, null);
+        lastAt = System.nanoTime();
+        requests.add(request);
+        if (request.code() != Code.STATUS_SERVER) {
+            runs.incrementAndGet();
+        }
+        if (request.code() == Code.ACCOUNTING_REQUEST) {
+            effects.run(Arrays.toString(request.first(Attribute.ACCT_SESSION_ID))
+                    + Arrays.toString(request.first(Attribute.ACCT_STATUS_TYPE)), name);
+        }
+        List<Attribute> back = new ArrayList<>();
+        back.add(new Attribute(18, name.getBytes(StandardCharsets.US_ASCII)));
+        request.attributes().stream().filter(a -> a.type() == Attribute.PROXY_STATE).forEach(back::add);
+        boolean accounting = request.code() == Code.ACCOUNTING_REQUEST;
+        byte[] answer = own.signAnswer(new Packet(accounting ? Code.ACCOUNTING_RESPONSE : Code.ACCESS_ACCEPT,
+                request.identifier(), request.authenticator(), back), request.authenticator(), !accounting).write();
+        if (manner == Manner.SILENT) {
+            return;
+        }
+        if (manner == Manner.LIE) {
+            lie(own, from, request, back);
+        }
+        boolean twice = manner == Manner.TWICE;
+        answered.put(identity, answer);
+        later.schedule(() -> {
+            reply(answer, from);
+            if (twice) {
+                reply(answer, from);
+            }
+            return null;
+        }, work, TimeUnit.MICROSECONDS);
+    }
+
+    private void lie(Authenticators own, DatagramPacket from, Packet request, List<Attribute> back) throws IOException {
+        byte[] asked = request.authenticator();
+        Packet reject = new Packet(Code.ACCESS_REJECT, request.identifier(), asked, back);
+        byte[] wrong = own.signAnswer(reject, asked, true).write();
+        wrong[10] ^= 1;
+        reply(wrong, from);
+        reply(own.signAnswer(reject.with(List.of()), asked, true).write(), from);
+        reply(own.signAnswer(new Packet(request.code() == Code.ACCOUNTING_REQUEST ? Code.ACCESS_REJECT
+                : Code.ACCOUNTING_RESPONSE, request.identifier(), asked, back), asked, false).write(), from);
+        reply(new byte[] {2, (byte) request.identifier(), 0, 3}, from);
+        try (DatagramSocket other = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            byte[] right = own.signAnswer(reject, asked, true).write();
+            other.send(new DatagramPacket(right, right.length, from.getSocketAddress()));  // from a wrong address
+        }
+    }
+
+    private void reply(byte[] bytes, DatagramPacket to) throws IOException {
+        socket.send(new DatagramPacket(bytes, bytes.length, to.getSocketAddress()));
+    }
+
+    /** As it is configured. */
+    public String endpoint() {
+        return "127.0.0.1:" + socket.getLocalPort();
+    }
+
+    /** Its port. */
+    public int port() {
+        return socket.getLocalPort();
+    }
+
+    /** Its name. */
+    public String name() {
+        return name;
+    }
+
+    /** From now on it does so. */
+    public void manner(Manner next) {
+        manner = next;
+    }
+
+    /** From now on a request takes so many microseconds. */
+    public void work(long micros) {
+        work = micros;
+    }
+
+    /** Requests that it ran, resends not counted, Status-Server neither. */
+    public long runs() {
+        return runs.get();
+    }
+
+    /** All requests that it took, in their order, resends not counted. */
+    public List<Packet> requests() {
+        return requests;
+    }
+
+    /** When the last new request came (System.nanoTime). */
+    public long lastAt() {
+        return lastAt;
+    }
+
+    @Override
+    public void close() {
+        socket.close();
+        later.shutdownNow();
+    }
+}
--- a/src/test/java/mastdrift/ArchitectureTest.java
+++ b/src/test/java/mastdrift/ArchitectureTest.java
@@ -21,8 +21,8 @@
 
     /** From the ground up; those on one floor don't import each other. */
     private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings"),
-            List.of("mastdrift.membership", "mastdrift.routing"), List.of("mastdrift.config"), List.of("mastdrift.engine"),
-            List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire"), List.of("mastdrift.serve", "mastdrift.standin"),
+            List.of("mastdrift.membership", "mastdrift.radius", "mastdrift.routing"), List.of("mastdrift.config"), List.of("mastdrift.engine"),
+            List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire", "mastdrift.radius.edge"), List.of("mastdrift.serve", "mastdrift.standin"),
             List.of("mastdrift.cli", "mastdrift.measure"));
 
     private static final JavaClasses CLASSES = new ClassFileImporter()
@@ -46,8 +46,8 @@
     @Test
     void whoDecidesDoesNoIo() {
         noClasses().that().resideInAnyPackage("mastdrift", "mastdrift.settings", "mastdrift.membership", "mastdrift.routing",
-                "mastdrift.config").should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.io..",
-                "java.nio.channels..", "java.nio.file..", "io.netty..", "java.util.concurrent..").check(CLASSES);
+                "mastdrift.radius", "mastdrift.config").should().dependOnClassesThat().resideInAnyPackage("java.net..",
+                "java.io..", "java.nio.channels..", "java.nio.file..", "io.netty..", "java.util.concurrent..").check(CLASSES);
     }
 
     @Test
