Watcher: folders that links no longer lead to are watched no longer

Need: with configuration mounted behind a link that is swapped, each swap left a watch of the system's behind. Now the folders that are wanted are worked out at each look and the others are let go. Test: after a swap two are watched.

--- a/src/main/java/mastdrift/files/Watcher.java
+++ b/src/main/java/mastdrift/files/Watcher.java
@@ -6,6 +6,7 @@
 import java.nio.file.StandardWatchEventKinds;
 import java.nio.file.WatchKey;
 import java.nio.file.WatchService;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -42,7 +43,7 @@
     private final Taker taker;
     private final Thread thread;
     private WatchService events;
-    private final Set<Path> folders = new HashSet<>();
+    private final Map<Path, WatchKey> folders = new HashMap<>();
     private List<String> files;
     private Map<String, FileTexts.Stamp> stamps = Map.of();
     private FileTexts judged;
@@ -104,31 +105,49 @@
         }
     }
 
-    /** Folders, since a file that is renamed into place is another file; also those that links lead to. */
+    /** Folders, since a file that is renamed into place is another file; also those that links lead to, and no longer those
+        that they led to: each costs a handle of the system's. */
     private void register() {
+        if (events == null) {
+            return;
+        }
         FileTexts texts = new FileTexts(file);
+        Set<Path> wanted = new HashSet<>();
         for (String each : files) {
             Path path = texts.path(each);
-            register(path.getParent());
+            wanted.add(path.getParent());
             try {
-                register(path.toRealPath().getParent());
+                wanted.add(path.toRealPath().getParent());
             } catch (IOException e) {
                 continue;  // not there now: its folder tells when it is
             }
         }
+        folders.keySet().removeIf(folder -> {
+            boolean left = !wanted.contains(folder);
+            if (left) {
+                folders.get(folder).cancel();
+            }
+            return left;
+        });
+        wanted.forEach(this::register);
     }
 
     private void register(Path folder) {
-        if (events != null && folder != null && folders.add(folder)) {
-            try {
-                folder.register(events, StandardWatchEventKinds.ENTRY_CREATE, StandardWatchEventKinds.ENTRY_DELETE,
-                        StandardWatchEventKinds.ENTRY_MODIFY);
-            } catch (IOException e) {
-                folders.remove(folder);  // looks go on
+        try {
+            if (!folders.containsKey(folder)) {
+                folders.put(folder, folder.register(events, StandardWatchEventKinds.ENTRY_CREATE,
+                        StandardWatchEventKinds.ENTRY_DELETE, StandardWatchEventKinds.ENTRY_MODIFY));
             }
+        } catch (IOException e) {
+            folders.remove(folder);  // looks go on
         }
     }
 
+    /** Folders that the file system is asked to tell of. */
+    int watched() {
+        return folders.size();
+    }
+
     /** What the files were like at one moment: their stamps, taken first, so that what changes while they are read shows at
         the next look; and what they held. */
     private record Shot(Map<String, FileTexts.Stamp> stamps, FileTexts texts) {
--- a/src/test/java/mastdrift/files/WatcherTest.java
+++ b/src/test/java/mastdrift/files/WatcherTest.java
@@ -164,6 +164,12 @@
         Path aside = Files.createSymbolicLink(folder.resolve("next"), two);
         Files.move(aside, link, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         awaitNodes(11);
+        for (int i = 0; i < 4; i++) {
+            Files.writeString(two.resolve("main.toml"), Samples.nodes("main", 6, 6 + i));
+            awaitNodes(12 + i);
+        }
+        close();
+        assertEquals(2, watcher.watched(), "the link's folder and where it leads now, not where it led");
     }
 
     /** A folder goes and comes again, and with it what the file system's events were registered on. */
