RADIUS in the operator's file, conversations that keep their server, bursts through losses

Need: chargers and servers have to be named by operators, with secrets by reference; a conversation's State means something to one server alone; and the hard cases want a network that loses on both sides.

Now [[radius]] listeners, clients by range, and pools with a secret; routes are checked so that neither protocol gets the other's requests; a start that may have run stays with its pool for the window, through drains and fallbacks.

--- a/src/main/java/mastdrift/config/Configuration.java
+++ b/src/main/java/mastdrift/config/Configuration.java
@@ -13,7 +13,8 @@
 
 /** A whole set of files, checked: the gateway's own file and the node lists that it includes. Immutable. */
 public record Configuration(GatewaySettings gateway, List<RequestClass> classes, List<Tenant> tenants,
-        Map<String, PoolSettings> pools, List<Route> routes, List<Override> overrides, Map<String, List<Node>> nodes) {
+        Map<String, PoolSettings> pools, List<RadiusSettings> radius, List<Route> routes, List<Override> overrides,
+        Map<String, List<Node>> nodes) {
 
     /** Node lists that one gateway's file includes. */
     public static final int FILES_MOST = 64;
--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -1,10 +1,13 @@
 package mastdrift.config;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -41,6 +44,8 @@
     private static final Pattern ENDPOINT = Pattern.compile(
             "(?:\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(\\d{1,5})");
 
+    private static final Pattern NETWORK = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3})/(\\d{1,2})");
+
     /** Where texts come from: the file system, or a test. */
     public interface Texts {
         /** The text of a file, as it is named in the gateway's file; null where there is none, for a reason that was added
@@ -93,11 +98,13 @@
         if (pools.isEmpty()) {
             root.problem("pool", "expected at least one pool, [pool.NAME], found none");
         }
+        List<RadiusSettings> radius = radius(root, classes, tenants);
         List<Route> routes = routes(root, pools.keySet(), gateway.zones(), classes, tenants);
         List<Override> overrides = overrides(root);
         root.noMore();
         Map<String, List<Node>> nodes = nodes(pools, gateway.zones(), files);
-        return new Configuration(gateway, classes, tenants, pools, routes, overrides, nodes);
+        fit(root, radius, routes, pools);
+        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes);
     }
 
     // ---- the gateway's own file
@@ -165,6 +172,96 @@
         return tenants;
     }
 
+    // ---- RADIUS
+
+    private List<RadiusSettings> radius(Section root, List<RequestClass> classes, List<Tenant> tenants) {
+        List<RadiusSettings> listeners = new ArrayList<>();
+        Set<String> met = Section.met();
+        for (Section section : root.sections("radius", 16)) {
+            String name = word(section, "name", section.requiredText("name"));
+            section.once("name", name, met);
+            List<RadiusSettings.Client> clients = new ArrayList<>();
+            for (Section client : section.sections("client", 1000)) {
+                clients.add(radiusClient(client, tenants));
+            }
+            if (clients.isEmpty()) {
+                section.problem("client", "expected at least one client, [[radius.client]], found none");
+            }
+            listeners.add(new RadiusSettings(name, endpoint(section, "listen", section.requiredText("listen")),
+                    radiusClass(section, "access_class", classes, Repeat.SAFE),
+                    radiusClass(section, "conversation_class", classes, Repeat.UNSAFE),
+                    radiusClass(section, "accounting_class", classes, Repeat.KEYED), clients,
+                    section.span("kept", 30 * SECOND, SECOND, 10 * MINUTE)));
+            section.noMore();
+        }
+        return listeners;
+    }
+
+    private static String radiusClass(Section section, String key, List<RequestClass> classes, Repeat repeat) {
+        String name = among(section, key, classes.stream().map(RequestClass::name).toList());
+        if (name == null) {
+            section.problem(key, "expected the name of a class, found nothing");
+        }
+        classes.stream().filter(type -> type.name().equals(name) && type.repeat() != repeat).forEach(type ->
+                section.problem(key, "expected a class whose effect is " + repeat.name().toLowerCase(Locale.ROOT) + ", found "
+                        + type.name() + ", which is " + type.repeat().name().toLowerCase(Locale.ROOT)));
+        return name;
+    }
+
+    private static RadiusSettings.Client radiusClient(Section section, List<Tenant> tenants) {
+        String network = section.requiredText("network");
+        Matcher matcher = NETWORK.matcher(network);
+        boolean fits = matcher.matches() && Integer.parseInt(matcher.group(2)) <= 32;
+        for (String part : fits ? matcher.group(1).split("\\.") : new String[0]) {
+            fits &= Integer.parseInt(part) <= 255;
+        }
+        if (!fits && !network.equals("?")) {
+            section.problem("network", "expected ADDRESS/PREFIX in digits, found \"" + network + "\"");
+        }
+        SecretRef secret = secret(section);
+        if (secret == null) {
+            section.problem("expected secret_file or secret_variable, found neither");
+        }
+        RadiusSettings.Client client = new RadiusSettings.Client(word(section, "name", section.requiredText("name")),
+                fits ? matcher.group(1) : "0.0.0.0", fits ? Integer.parseInt(matcher.group(2)) : 32, secret,
+                among(section, "tenant", tenants.stream().map(Tenant::name).toList()),
+                section.flag("message_authenticator", true));
+        section.noMore();
+        return client;
+    }
+
+    /** Null where there is none. */
+    private static SecretRef secret(Section section) {
+        String file = section.text("secret_file");
+        String variable = section.text("secret_variable");
+        if (file != null && variable != null) {
+            section.problem("secret_file", "expected secret_file or secret_variable, found both");
+        }
+        return file != null ? new SecretRef(true, file) : variable != null ? new SecretRef(false, variable) : null;
+    }
+
+    /** What RADIUS asks goes to RADIUS servers, and nothing else does. */
+    private static void fit(Section root, List<RadiusSettings> radius, List<Route> routes, Map<String, PoolSettings> pools) {
+        Set<String> classes = new HashSet<>();
+        radius.forEach(each -> classes.addAll(Arrays.asList(each.accessClass(), each.conversationClass(),
+                each.accountingClass())));
+        for (Route route : routes) {
+            boolean asked = classes.contains(route.match().className());
+            List<String> named = new ArrayList<>(route.targets().stream().map(Route.Target::pool).toList());
+            if (route.fallback() != null) {
+                named.add(route.fallback());
+            }
+            for (String name : named) {
+                PoolSettings pool = pools.get(name);
+                if (pool != null && pool.radius() != asked) {
+                    root.problem("route", "route " + route.name() + ": expected " + (asked ? "pools of RADIUS servers for class "
+                            + route.match().className() : "the class of a RADIUS listener, for pool " + name + " has RADIUS servers")
+                            + ", found " + (asked ? "pool " + name + " of HTTP hosts" : "another or none"));
+                }
+            }
+        }
+    }
+
     private PoolSettings pool(String name, Section section) {
         word(section, "", name);
         List<String> files = section.texts("nodes", Configuration.FILES_MOST);
@@ -189,7 +286,8 @@
         PoolSettings pool = new PoolSettings(name, files,
                 discovery == null ? null : endpoint(section, "discovery", discovery),
                 (int) section.whole("max_attempts", 4, 1, 16),
-                (int) section.whole("connections", 1024, 1, 1 << 16), section.flag("probes", true), links, rules, guards);
+                (int) section.whole("connections", 1024, 1, 1 << 16), section.flag("probes", true), links, rules,
+                secret(section), guards);
         section.noMore();
         return pool;
     }
--- a/src/main/java/mastdrift/config/PoolSettings.java
+++ b/src/main/java/mastdrift/config/PoolSettings.java
@@ -16,14 +16,20 @@
  * @param probes whether hosts may be probed
  * @param links connections to its hosts; times in microseconds
  * @param rules figures of the four rules for its hosts; times in microseconds
+ * @param secret of its RADIUS servers; null for a pool of HTTP hosts
  * @param guards what one change of the files may take away
  */
 public record PoolSettings(String name, List<String> files, String discovery, int maxAttempts, int connections,
-        boolean probes, Links links, Rules rules, Guards.Limits guards) {
+        boolean probes, Links links, Rules rules, SecretRef secret, Guards.Limits guards) {
 
     /** Whether all that is bound at the start is the same. */
     public boolean sameAtStart(PoolSettings other) {
         return equals(new PoolSettings(other.name, files, other.discovery, other.maxAttempts, other.connections,
-                other.probes, other.links, other.rules, guards));
+                other.probes, other.links, other.rules, other.secret, guards));
+    }
+
+    /** Whether its hosts are RADIUS servers. */
+    public boolean radius() {
+        return secret != null;
     }
 }
--- /dev/null
+++ b/src/main/java/mastdrift/config/RadiusSettings.java
@@ -0,0 +1,30 @@
+package mastdrift.config;
+
+import java.util.List;
+
+/**
+ * A RADIUS listener; bound at the start.
+ *
+ * @param name what operators call it
+ * @param listen address and port in digits, UDP
+ * @param accessClass the class of an Access-Request, safe to repeat
+ * @param conversationClass the class of one with State or EAP-Message, which one server holds
+ * @param accountingClass the class of accounting
+ * @param clients who may send, by address range
+ * @param kept microseconds for which an answer is kept for resends
+ */
+public record RadiusSettings(String name, String listen, String accessClass, String conversationClass,
+        String accountingClass, List<Client> clients, long kept) {
+
+    /**
+     * Chargers behind one address range.
+     *
+     * @param name for counts and log
+     * @param network an address in digits
+     * @param prefix how many of its bits count
+     * @param secret where their secret is
+     * @param tenant their tenant, or null
+     * @param signed whether Access-Requests must have a Message-Authenticator
+     */
+    public record Client(String name, String network, int prefix, SecretRef secret, String tenant, boolean signed) { }
+}
--- a/src/main/java/mastdrift/radius/edge/RadiusAnswer.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusAnswer.java
@@ -7,5 +7,5 @@
 import mastdrift.radius.Hidden;
 
 /** A server's answer, proved, without the gateway's Proxy-State and Message-Authenticator; what is hidden in it is hidden for
-    this hop. */
-record RadiusAnswer(Code code, List<Attribute> attributes, Hidden.Hop hop) implements Answer { }
+    this hop; {@code uid} is the server's. */
+record RadiusAnswer(String uid, Code code, List<Attribute> attributes, Hidden.Hop hop) implements Answer { }
--- a/src/main/java/mastdrift/radius/edge/RadiusCall.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusCall.java
@@ -4,8 +4,9 @@
 import mastdrift.radius.Authenticators;
 import mastdrift.radius.Packet;
 
-/** A client's request as it came, with the secret of its hop. */
-record RadiusCall(Packet request, Authenticators secret) implements Call {
+/** A client's request as it came, with the secret of its hop; {@code onlyAt} is the uid of the server that holds its
+    conversation, or null. */
+record RadiusCall(Packet request, Authenticators secret, String onlyAt) implements Call {
 
     @Override
     public void release() { }
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -26,6 +26,7 @@
 import mastdrift.radius.Attribute;
 import mastdrift.radius.Authenticators;
 import mastdrift.radius.Code;
+import mastdrift.radius.Conversations;
 import mastdrift.radius.Effect;
 import mastdrift.radius.Hidden;
 import mastdrift.radius.MalformedPacketException;
@@ -41,6 +42,8 @@
 public final class RadiusFront {
 
     private static final int RECEIVE_BYTES = 1 << 20;
+    private static final int CONVERSATIONS_MOST = 1 << 14;
+    private static final long CONVERSATION_KEPT = 60_000_000;  // a driver at a charger that asks for more waits no longer
 
     /** Which pool a request is for, and as which class. */
     public interface Router {
@@ -58,6 +61,7 @@
     private final RadiusClients clients;
     private final Classes classes;
     private final Resends resends;
+    private final Conversations conversations = new Conversations(CONVERSATIONS_MOST, CONVERSATION_KEPT);
     private final Drops drops;
     private Channel channel;
 
@@ -138,7 +142,7 @@
         switch (met.what()) {
             case KEPT -> send(from, met.answer());
             case REPEATED -> {
-                Reply reply = new Reply(met.entry(), client);
+                Reply reply = new Reply(met.entry(), client, 0);
                 reply.answer(new Waiting(new Source(from.getAddress().getAddress(), from.getPort()), request),
                         Code.ACCOUNTING_RESPONSE, List.of());
             }
@@ -151,18 +155,20 @@
         boolean accounting = request.code() == Code.ACCOUNTING_REQUEST;
         byte[] state = request.first(Attribute.STATE);
         boolean conversation = !accounting && (state != null || request.count(Attribute.EAP_MESSAGE) > 0);
+        Conversations.Held held = conversation && state != null ? conversations.held(ledger.now(), state) : null;
         byte[] address = from.getAddress().getAddress();
-        long key = accounting ? Effect.of(address, request).key()
+        long key = accounting ? Effect.of(address, request).key() : held != null ? held.key()
                 : 31L * Arrays.hashCode(state != null ? state : request.authenticator()) + Arrays.hashCode(address);
         String className = accounting ? classes.accounting : conversation ? classes.conversation : classes.access;
-        Reply reply = new Reply(met.entry(), client);
+        Reply reply = new Reply(met.entry(), client, key);
         Pool pool = router.pool(className, client.tenant(), key);
         if (pool == null) {
             drops.drop(Drops.Cause.NO_ROUTE, from, "no route for " + className);
             reply.failed(false);
             return;
         }
-        ledger.take(pool, reply, new RadiusCall(request, client.secret()), new Ask(className, client.tenant(), key,
+        ledger.take(pool, reply, new RadiusCall(request, client.secret(),
+                held == null ? null : held.uid()), new Ask(className, client.tenant(), key,
                 accounting ? classes.accountingTime : classes.accessTime, false, accounting, 0));
     }
 
@@ -190,15 +196,21 @@
 
         private final Resends.Entry entry;
         private final RadiusClients.Client client;
+        private final long key;
 
-        Reply(Resends.Entry entry, RadiusClients.Client client) {
+        Reply(Resends.Entry entry, RadiusClients.Client client, long key) {
             this.entry = entry;
             this.client = client;
+            this.key = key;
         }
 
         @Override
         public void served(Answer answer) {
             RadiusAnswer given = (RadiusAnswer) answer;
+            if (given.code() == Code.ACCESS_CHALLENGE) {
+                given.attributes().stream().filter(a -> a.type() == Attribute.STATE).forEach(state -> conversations.challenged(
+                        ledger.now(), state.value(), new Conversations.Held(given.uid(), key)));
+            }
             for (Waiting waiting : entry.waiting()) {
                 List<Attribute> anew = Hidden.anew(given.attributes(), given.hop(),
                         new Hidden.Hop(client.secret(), waiting.request().authenticator()));
--- a/src/main/java/mastdrift/radius/edge/RadiusTransport.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusTransport.java
@@ -145,6 +145,11 @@
     public Attempt send(String uid, Call call, long timeout, Ended ended) {
         RadiusCall given = (RadiusCall) call;
         Packet request = given.request();
+        if (given.onlyAt() != null && !given.onlyAt().equals(uid)) {
+            // No other server could make anything of its State, and a reject would be one of the gateway's making.
+            ended.ended(Outcome.UNUSED, null, LoadReport.NONE);
+            return () -> { };
+        }
         return send(uid, timeout, (peer, slot) -> {
             byte[] authenticator = new byte[Packet.AUTHENTICATOR];
             random.nextBytes(authenticator);
@@ -190,7 +195,7 @@
         }
         List<Attribute> attributes = new ArrayList<>(packet.attributes());
         attributes.add(new Attribute(Attribute.PROXY_STATE, mark));
-        Sent sent = new Sent(peer, slot, peer.secret.signRequest(packet.with(attributes)), mark, ended);
+        Sent sent = new Sent(uid, peer, slot, peer.secret.signRequest(packet.with(attributes)), mark, ended);
         peer.out.put(slot, sent);
         sent.begin(timeout);
         return sent;
@@ -218,6 +223,7 @@
     /** One packet that is out. */
     private final class Sent implements Attempt {
 
+        private final String uid;
         private final Peer peer;
         private final Slot slot;
         private final Packet packet;
@@ -229,7 +235,8 @@
         private long pause = RESEND;
         private boolean over;
 
-        Sent(Peer peer, Slot slot, Packet packet, byte[] mark, Ended ended) {
+        Sent(String uid, Peer peer, Slot slot, Packet packet, byte[] mark, Ended ended) {
+            this.uid = uid;
             this.peer = peer;
             this.slot = slot;
             this.packet = packet;
@@ -297,7 +304,7 @@
                 }
                 // Those of others are the client's own, and the front gives them back by its request.
                 attributes.removeIf(a -> a.type() == Attribute.PROXY_STATE || a.type() == Attribute.MESSAGE_AUTHENTICATOR);
-                end(Outcome.DELIVERED, new RadiusAnswer(answer.code(), attributes,
+                end(Outcome.DELIVERED, new RadiusAnswer(uid, answer.code(), attributes,
                         new Hidden.Hop(peer.secret, packet.authenticator())));
             }
         }
--- a/src/main/java/mastdrift/serve/Changes.java
+++ b/src/main/java/mastdrift/serve/Changes.java
@@ -34,6 +34,9 @@
         if (!inForce.tenants().equals(next.tenants())) {
             bound.add("[[tenant]]: expected the tenants that the gateway started with; start it anew to change them");
         }
+        if (!inForce.radius().equals(next.radius())) {
+            bound.add("[[radius]]: expected the listeners that the gateway started with; start it anew to change them");
+        }
         inForce.pools().forEach((name, pool) -> {
             PoolSettings other = next.pools().get(name);
             if (other != null && !pool.sameAtStart(other)) {
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,18 +36,26 @@
 import mastdrift.config.Configuration;
 import mastdrift.config.GatewaySettings;
 import mastdrift.config.PoolSettings;
+import mastdrift.config.RadiusSettings;
 import mastdrift.engine.Clock;
 import mastdrift.engine.Ledger;
 import mastdrift.engine.Member;
 import mastdrift.engine.Pool;
 import mastdrift.engine.ServiceCount;
 import mastdrift.engine.Source;
+import mastdrift.engine.Transport;
 import mastdrift.files.StatusFile;
 import mastdrift.files.Watcher;
 import mastdrift.membership.PoolList;
 import mastdrift.net.Addresses;
 import mastdrift.net.ClientSide;
 import mastdrift.net.HttpTransport;
+import mastdrift.radius.Authenticators;
+import mastdrift.radius.Resends;
+import mastdrift.radius.edge.Drops;
+import mastdrift.radius.edge.RadiusClients;
+import mastdrift.radius.edge.RadiusFront;
+import mastdrift.radius.edge.RadiusTransport;
 import mastdrift.routing.Hashing;
 import mastdrift.routing.RouteTable;
 import mastdrift.routing.Router;
@@ -58,17 +67,22 @@
     private static final int OPEN_MOST = 20_000;
     private static final long RETRY_AFTER_MOST = 2_000_000;
     private static final long RETIRE_MILLIS = 1_000;
+    // Of answers that are kept for a listener's resends.
+    private static final int RESENDS_MOST = 1 << 16;
+    private static final int RESENDS_BYTES = 16 << 20;
 
     /** A pool as requests find it. */
     private static final class Served {
         private final Pool pool;
         private final DiscoverySource discovery;
+        private final boolean radius;
         private boolean somebody;
         private boolean retired;
 
-        Served(Pool pool, DiscoverySource discovery) {
+        Served(Pool pool, DiscoverySource discovery, boolean radius) {
             this.pool = pool;
             this.discovery = discovery;
+            this.radius = radius;
         }
     }
 
@@ -82,17 +96,23 @@
     private final Map<String, Served> pools = new HashMap<>();
     private final Control control = new Control(new Loop(), clock::now);
     private final Watcher watcher;
+    private final Secrets secrets;
     private GatewaySettings gateway;
+    private List<RadiusSettings> listeners = List.of();
     private volatile StatusFile status;
     private ClientSide clients;
+    private final List<RadiusFront> radius = new ArrayList<>();
+    private final Drops drops = new Drops(clock::now, this::log);
 
     private Service(Path file, PrintStream out) {
         this.file = file;
         this.out = out;
+        secrets = new Secrets(file, System.getenv());
         watcher = new Watcher(file, new Watcher.Taker() {
             @Override
             public List<String> take(Configuration configuration) {
-                return control.offer(configuration);
+                List<String> missing = secrets.read(configuration);
+                return missing.isEmpty() ? control.offer(configuration) : missing;
             }
 
             @Override
@@ -121,12 +141,23 @@
     }
 
     private void listen() {
-        InetSocketAddress at = Addresses.parse(gateway.listen());
-        ChannelFuture bound = clients.listen(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IllegalArgumentException("no listening on " + gateway.listen() + ": " + bound.cause().getMessage());
-        }
+        bound(gateway.listen(), clients.listen(Addresses.parse(gateway.listen())));
         log("listening on " + clients.address());
+        for (int i = 0; i < radius.size(); i++) {
+            bound(listeners.get(i).listen(), radius.get(i).listen(Addresses.parse(listeners.get(i).listen())));
+            log("listening for RADIUS on " + radius.get(i).address());
+        }
+    }
+
+    private static void bound(String at, ChannelFuture bound) {
+        if (!bound.awaitUninterruptibly().isSuccess()) {
+            throw new IllegalArgumentException("no listening on " + at + ": " + bound.cause().getMessage());
+        }
+    }
+
+    /** Where the RADIUS listeners are, in the order of the file. */
+    public List<InetSocketAddress> radiusAddresses() {
+        return radius.stream().map(RadiusFront::address).toList();
     }
 
     /** Where it listens. */
@@ -207,6 +238,8 @@
             status = gateway.statusFile() == null ? null : new StatusFile(file, gateway.statusFile());
             clients = new ClientSide(loop, ledger, this::route, next.classes(), next.tenants(), gateway.connections(),
                     this::log);
+            listeners = next.radius();
+            listeners.forEach(each -> radius.add(radiusFront(next, each)));
         }
         pools.forEach((name, served) -> {
             if (!served.retired && !next.pools().containsKey(name)) {
@@ -232,15 +265,21 @@
 
     private Served open(Configuration next, PoolSettings settings) {
         Settings module = settings(next, settings);
-        Pool pool = new Pool(settings.name(), ledger, new Balance(), module,
-                new HttpTransport(loop, clock::now, module, settings.connections(), this::log));
+        Transport transport = settings.radius() ? radiusTransport(settings)
+                : new HttpTransport(loop, clock::now, module, settings.connections(), this::log);
+        Pool pool = new Pool(settings.name(), ledger, new Balance(), module, transport);
         DiscoverySource discovery = settings.discovery() == null ? null
                 : new DiscoverySource(loop, settings.name(), Addresses.parse(settings.discovery()), control, this::log);
         pool.start(Source.TELLS, List.of());
         if (discovery != null) {
             discovery.watch(true);
         }
-        return new Served(pool, discovery);
+        return new Served(pool, discovery, settings.radius());
+    }
+
+    private Transport radiusTransport(PoolSettings settings) {
+        byte[] secret = secrets.get(settings.secret());
+        return new RadiusTransport(loop, clock::now, settings.rules().drainGrace(), uid -> secret, drops);
     }
 
     private Settings settings(Configuration next, PoolSettings pool) {
@@ -280,12 +319,33 @@
         long seed = key != null ? key : Hashing.text(message.headers().get("X-Trace-Id"));
         Traits traits = new Traits(type.name(), tenant, query < 0 ? uri : uri.substring(0, query), gateway.zone(), seed,
                 message.headers()::getAll);
+        return pool(type, traits, false);
+    }
+
+    private RadiusFront radiusFront(Configuration next, RadiusSettings settings) {
+        Map<String, RequestClass> types = new HashMap<>();
+        next.classes().forEach(type -> types.put(type.name(), type));
+        RadiusClients chargers = new RadiusClients(settings.clients().stream().map(client -> new RadiusClients.Client(
+                client.name(), Addresses.parse(client.network() + ":0").getAddress(), client.prefix(),
+                new Authenticators(secrets.get(client.secret())), client.tenant(), client.signed())).toList());
+        return new RadiusFront(loop, ledger, (className, tenant, key) -> radiusPool(types.get(className), tenant, key), chargers,
+                new RadiusFront.Classes(settings.accessClass(), settings.conversationClass(), settings.accountingClass(),
+                        types.get(settings.accessClass()).deadline(), types.get(settings.accountingClass()).deadline()),
+                new Resends(settings.kept(), RESENDS_MOST, RESENDS_BYTES), drops);
+    }
+
+    private Pool radiusPool(RequestClass type, String tenant, long key) {
+        return pool(type, new Traits(type.name(), tenant, "/", gateway.zone(), key, name -> List.of()), true);
+    }
+
+    /** Null where no route fits, or one that leads to a pool of another protocol. */
+    private Pool pool(RequestClass type, Traits traits, boolean asRadius) {
         long now = clock.now();
         String name = type.repeat() == Repeat.KEYED
                 ? router.keyed(now, traits, now + type.deadline() + type.dedupWindow(), this::somebody)
                 : router.pool(traits, this::somebody);
         Served served = name == null ? null : pools.get(name);
-        return served == null ? null : served.pool;
+        return served == null || served.radius != asRadius ? null : served.pool;
     }
 
     private boolean somebody(String pool) {
@@ -300,7 +360,10 @@
     public boolean stop(long seconds) throws InterruptedException {
         watcher.close();
         CountDownLatch answered = new CountDownLatch(1);
-        loop.execute(() -> clients.stop(answered::countDown));
+        loop.execute(() -> {
+            radius.forEach(RadiusFront::close);  // chargers send again, to whoever is there
+            clients.stop(answered::countDown);
+        });
         boolean all = answered.await(seconds, TimeUnit.SECONDS);
         close();
         return all;
--- a/src/main/java/mastdrift/standin/StandInRadiusServer.java
+++ b/src/main/java/mastdrift/standin/StandInRadiusServer.java
@@ -10,7 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,6 +23,8 @@
     and authenticator, and answers them as before. */
 public final class StandInRadiusServer implements AutoCloseable {
 
+    private static final int REQUESTS_MOST = 1000;
+
     /** What it does with a request. */
     public enum Manner {
         /** Runs and answers it. */
@@ -33,10 +34,13 @@
         /** Runs it and first sends what is no answer: signed wrong, of another code, without Proxy-State; then the answer. */
         LIE,
         /** Runs it and answers twice. */
-        TWICE
+        TWICE,
+        /** Challenges a card twice before it accepts it, and rejects a State that it did not give. */
+        CHALLENGE
     }
 
     private final String name;
+    private final String group;
     private final Effects effects;
     private final byte[] secret;
     private final DatagramSocket socket;
@@ -46,15 +50,17 @@
         return thread;
     });
     private final Map<String, byte[]> answered = new HashMap<>();
-    private final List<Packet> requests = new CopyOnWriteArrayList<>();
+    private final List<Packet> requests = new ArrayList<>();
     private final AtomicLong runs = new AtomicLong();
     private volatile long lastAt;
     private volatile long work;
     private volatile Manner manner = Manner.SERVE;
 
-    /** Listens on a free port of 127.0.0.1; {@code work} in microseconds. Accounting effects are noted under its own name. */
-    public StandInRadiusServer(String name, Effects effects, byte[] secret, long work) throws IOException {
+    /** Listens on a free port of 127.0.0.1; {@code work} in microseconds. Servers of one {@code group} drop one another's
+        repeats of an accounting effect. */
+    public StandInRadiusServer(String name, String group, Effects effects, byte[] secret, long work) throws IOException {
         this.name = name;
+        this.group = group;
         this.effects = effects;
         this.secret = secret.clone();
         this.work = work;
@@ -92,19 +98,25 @@
         }
         answered.put(identity, null);
         lastAt = System.nanoTime();
-        requests.add(request);
+        synchronized (requests) {
+            if (requests.size() < REQUESTS_MOST) {
+                requests.add(request);
+            }
+        }
         if (request.code() != Code.STATUS_SERVER) {
             runs.incrementAndGet();
         }
         if (request.code() == Code.ACCOUNTING_REQUEST) {
             effects.run(Arrays.toString(request.first(Attribute.ACCT_SESSION_ID))
-                    + Arrays.toString(request.first(Attribute.ACCT_STATUS_TYPE)), name);
+                    + Arrays.toString(request.first(Attribute.ACCT_STATUS_TYPE)), group);
         }
         List<Attribute> back = new ArrayList<>();
         back.add(new Attribute(18, name.getBytes(StandardCharsets.US_ASCII)));
         request.attributes().stream().filter(a -> a.type() == Attribute.PROXY_STATE).forEach(back::add);
         boolean accounting = request.code() == Code.ACCOUNTING_REQUEST;
-        byte[] answer = own.signAnswer(new Packet(accounting ? Code.ACCOUNTING_RESPONSE : Code.ACCESS_ACCEPT,
+        Code accepts = manner == Manner.CHALLENGE && request.code() == Code.ACCESS_REQUEST ? challenge(request, back)
+                : Code.ACCESS_ACCEPT;
+        byte[] answer = own.signAnswer(new Packet(accounting ? Code.ACCOUNTING_RESPONSE : accepts,
                 request.identifier(), request.authenticator(), back), request.authenticator(), !accounting).write();
         if (manner == Manner.SILENT) {
             return;
@@ -123,6 +135,21 @@
         }, work, TimeUnit.MICROSECONDS);
     }
 
+    /** Its State is its name and how often it was asked, with a number that makes it one of a kind. */
+    private Code challenge(Packet request, List<Attribute> back) {
+        byte[] state = request.first(Attribute.STATE);
+        String given = state == null ? name + " 0" : new String(state, StandardCharsets.US_ASCII);
+        if (!given.startsWith(name + " ")) {
+            return Code.ACCESS_REJECT;
+        }
+        int round = given.charAt(name.length() + 1) - '0' + 1;
+        if (round > 2) {
+            return Code.ACCESS_ACCEPT;
+        }
+        back.add(new Attribute(Attribute.STATE, (name + " " + round + " " + runs.get()).getBytes(StandardCharsets.US_ASCII)));
+        return Code.ACCESS_CHALLENGE;
+    }
+
     private void lie(Authenticators own, DatagramPacket from, Packet request, List<Attribute> back) throws IOException {
         byte[] asked = request.authenticator();
         Packet reject = new Packet(Code.ACCESS_REJECT, request.identifier(), asked, back);
@@ -173,9 +200,11 @@
         return runs.get();
     }
 
-    /** All requests that it took, in their order, resends not counted. */
+    /** The first {@value #REQUESTS_MOST} requests that it took, in their order, resends not counted. */
     public List<Packet> requests() {
-        return requests;
+        synchronized (requests) {
+            return List.copyOf(requests);
+        }
     }
 
     /** When the last new request came (System.nanoTime). */
--- a/src/test/java/mastdrift/cli/CommandsTest.java
+++ b/src/test/java/mastdrift/cli/CommandsTest.java
@@ -44,6 +44,8 @@
     void theExamplesUnderDeployAreGood() {
         assertEquals(0, run("check", "deploy/gateway.toml"), () -> err);
         assertTrue(out.contains("pool sessions: version "), out);
+        assertEquals(0, run("check", "deploy/gateway-radius.toml"), () -> err);
+        assertTrue(out.contains("pool cards: version "), out);
     }
 
     @Test
--- a/src/test/java/mastdrift/net/AbsentTest.java
+++ b/src/test/java/mastdrift/net/AbsentTest.java
@@ -26,7 +26,7 @@
 /** Off means absent: the platform's gateway and the adapter load nothing of what other installations have. */
 class AbsentTest {
 
-    private static final String PACKAGES = "mastdrift\\.(membership|routing|config|files|serve|cli\\.Commands|standin).*";
+    private static final String PACKAGES = "mastdrift\\.(membership|routing|config|files|serve|radius|cli\\.Commands|standin).*";
     private static final String LIBRARIES = "(org\\.tomlj|org\\.antlr|picocli)\\..*";
 
     @TempDir
--- a/src/test/java/mastdrift/radius/ResendsTest.java
+++ b/src/test/java/mastdrift/radius/ResendsTest.java
@@ -224,6 +224,23 @@
         }
     }
 
+    // ---- conversations
+
+    @Test
+    void aConversationIsRememberedByItsLastState() {
+        Conversations conversations = new Conversations(2, 100);
+        conversations.challenged(0, new byte[] {1}, new Conversations.Held("one", 7));
+        assertEquals(new Conversations.Held("one", 7), conversations.held(99, new byte[] {1}));
+        assertNull(conversations.held(100, new byte[] {1}), "its time is over");
+        assertNull(conversations.held(1, new byte[] {2}));
+        conversations.challenged(1, new byte[] {2}, new Conversations.Held("two", 8));
+        conversations.challenged(2, new byte[] {3}, new Conversations.Held("two", 8));
+        assertEquals(2, conversations.size());
+        assertNull(conversations.held(3, new byte[] {1}), "beyond the bound the eldest goes");
+        conversations.challenged(200, new byte[] {4}, new Conversations.Held("two", 8));
+        assertEquals(1, conversations.size(), "expired ones leave");
+    }
+
     // ---- identifiers towards servers
 
     @Test
--- a/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
+++ b/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
@@ -55,6 +55,8 @@
 import mastdrift.radius.Packet;
 import mastdrift.radius.Resends;
 import mastdrift.standin.Effects;
+import mastdrift.standin.LossyRelay;
+import mastdrift.standin.StandInCharger;
 import mastdrift.standin.StandInRadiusServer;
 import mastdrift.standin.StandInRadiusServer.Manner;
 import org.aaa4j.radius.client.IntervalRetransmissionStrategy;
@@ -108,7 +110,7 @@
                     InetAddress.getByName("127.0.0.0"), 30, new Authenticators(CHARGER), null, true)));
             front = new RadiusFront(loop, ledger, (name, tenant, key) -> pool, clients,
                     new RadiusFront.Classes("access", "conversation", "accounting", 4_000_000, 4_000_000),
-                    new Resends(30_000_000, 1000, 1 << 20), drops);
+                    new Resends(30_000_000, 1 << 16, 16 << 20), drops);
             return front.listen(new InetSocketAddress("127.0.0.1", 0));
         }).sync();
     }
@@ -137,8 +139,13 @@
                 new Habits(true, false, Reports.OFF, List.of(), false), false, Weights.NOMINAL, "", 0, 1);
     }
 
+    /** One that drops nobody's repeats but its own. */
     private StandInRadiusServer server(String name, long work) throws IOException {
-        StandInRadiusServer server = new StandInRadiusServer(name, effects, SERVER, work);
+        return server(name, name, work);
+    }
+
+    private StandInRadiusServer server(String name, String group, long work) throws IOException {
+        StandInRadiusServer server = new StandInRadiusServer(name, group, effects, SERVER, work);
         servers.add(server);
         return server;
     }
@@ -296,6 +303,79 @@
         assertEquals(2, server.runs());
     }
 
+    /** A conversation keeps its server: any other would reject its State, and a reject would be the gateway's making. */
+    @Test
+    void conversationsKeepTheirServer() throws Exception {
+        for (String name : List.of("one", "two", "three")) {
+            server(name, 1_000).manner(Manner.CHALLENGE);
+        }
+        list();
+        DatagramSocket socket = socket();
+        int identifier = 0;
+        for (int i = 0; i < 30; i++) {
+            byte[] state = null;
+            Code code = Code.ACCESS_CHALLENGE;
+            for (int round = 0; code == Code.ACCESS_CHALLENGE; round++) {
+                Packet request = charger.signRequest(new Packet(Code.ACCESS_REQUEST, identifier, authenticator(identifier + 3),
+                        state == null ? List.of() : List.of(new Attribute(Attribute.STATE, state))));
+                identifier = identifier + 1 & 255;
+                send(socket, request.write());
+                Packet answer = answered(socket, request);
+                code = answer.code();
+                state = answer.first(Attribute.STATE);
+                assertTrue(round < 3);
+            }
+            assertEquals(Code.ACCESS_ACCEPT, code, "conversation " + i);
+        }
+        assertTrue(servers.stream().allMatch(server -> server.runs() > 0), "each held some");
+        assertEquals(90, servers.stream().mapToLong(StandInRadiusServer::runs).sum());
+    }
+
+    /** Three servers behind a network that loses, doubles and holds back a twentieth each, both ways on both sides, one server
+        slowed, one drained: everything is answered once, and counts at chargers and ledger agree. */
+    @Test
+    void aNetworkThatLosesOnBothSides() throws Exception {
+        server("fast", "all", 2_000);
+        server("slow", "all", 20_000);
+        StandInRadiusServer leaving = server("leaving", "all", 2_000);
+        List<LossyRelay> relays = new ArrayList<>();
+        try (LossyRelay network = new LossyRelay(front.address(), 0.05, 1)) {
+            List<Member> members = new ArrayList<>();
+            for (StandInRadiusServer server : servers) {
+                LossyRelay relay = new LossyRelay(new InetSocketAddress("127.0.0.1", server.port()), 0.05, 2);
+                relays.add(relay);
+                members.add(new Member(new Host(server.name(), "a", 0, "", 1, Health.UP, 0), relay.address()));
+            }
+            learn(members);
+            try (StandInCharger site = new StandInCharger(network.address(), CHARGER, 1, 1000, 400, 700)) {
+                await(() -> leaving.runs() > 20, "it serves");
+                members.set(2, new Member(new Host("leaving", "a", 0, "", 1, Health.LEAVING, 0), relays.get(2).address()));
+                learn(members);
+                long told = System.nanoTime();
+                assertTrue(site.join(WAIT_SECONDS * 1000), "answered " + site.answered());
+                assertEquals(1000, site.answered());
+                assertEquals(0, site.wrong());
+                assertTrue(leaving.lastAt() - told < 250_000_000L + 30_000_000L, "nothing new after the grace and the relay's hold");
+            }
+            assertTrue(network.lost() > 20, "lost " + network.lost());
+        } finally {
+            relays.forEach(LossyRelay::close);
+        }
+        assertEquals(0, effects.twice());
+        assertEquals(0, onLoop(() -> ledger.open()));
+        long served = onLoop(() -> ledger.count().of("access").served() + ledger.count().of("accounting").served());
+        long failed = onLoop(() -> ledger.count().of("access").failed() + ledger.count().of("accounting").failed());
+        assertEquals(1000, served, "each once; failed meanwhile " + failed);
+    }
+
+    private void learn(List<Member> members) throws Exception {
+        List<Member> all = List.copyOf(members);
+        onLoop(() -> {
+            pool.learn(ListForm.FULL, all);
+            return null;
+        });
+    }
+
     // ---- answers that are none
 
     @Test
--- /dev/null
+++ b/src/test/java/mastdrift/serve/RadiusServiceTest.java
@@ -0,0 +1,270 @@
+package mastdrift.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import mastdrift.radius.Attribute;
+import mastdrift.radius.Authenticators;
+import mastdrift.radius.Code;
+import mastdrift.radius.Packet;
+import mastdrift.standin.Effects;
+import mastdrift.standin.Load;
+import mastdrift.standin.StandInHost;
+import mastdrift.standin.StandInRadiusServer;
+import mastdrift.standin.StandInRadiusServer.Manner;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** RADIUS through a gateway from files, beside HTTP. */
+class RadiusServiceTest {
+
+    private static final byte[] SECRET = "both hops'".getBytes(StandardCharsets.US_ASCII);
+    private static final String CLASSES = """
+            [[class]]
+            name = "card"
+            effect = "safe"
+            aim = "1s"
+            deadline = "3s"
+
+            [[class]]
+            name = "talk"
+            effect = "unsafe"
+            aim = "1s"
+            deadline = "3s"
+
+            [[class]]
+            name = "accounting"
+            effect = "keyed"
+            group = "all"
+            dedup_window = "60s"
+            aim = "1s"
+            deadline = "1s"
+
+            """;
+    private static final String LISTENER = """
+            [[radius]]
+            name = "chargers"
+            listen = "127.0.0.1:0"
+            access_class = "card"
+            conversation_class = "talk"
+            accounting_class = "accounting"
+
+            [[radius.client]]
+            name = "site"
+            network = "127.0.0.0/8"
+            secret_file = "secret"
+
+            """;
+    private static final String POOLS = """
+            [pool.main]
+            nodes = ["main.toml"]
+
+            [pool.cards]
+            nodes = ["cards.toml"]
+            secret_file = "secret"
+            guards = { pool_drop_most = 1, zone_drop_most = 1, zone_may_empty = true, weights_may_be_zero = true }
+
+            [pool.other]
+            nodes = ["other.toml"]
+            secret_file = "secret"
+            guards = { pool_drop_most = 1, zone_drop_most = 1, zone_may_empty = true, weights_may_be_zero = true }
+
+            """;
+    private static final String ROUTES = route("cards", "card", "cards") + route("talks", "talk", "cards")
+            + "[[route]]\nname = \"accounts\"\nclass = \"accounting\"\npools = { cards = 1 }\nfallback = \"other\"\n"
+            + route("reads", "session-read", "main") + route("starts", "session-start", "main");
+
+    @TempDir
+    private Path folder;
+
+    private final Authenticators charger = new Authenticators(SECRET);
+    private final Effects effects = new Effects(60_000_000);
+    private Rig rig;
+    private StandInHost host;
+    private StandInRadiusServer one;
+    private StandInRadiusServer two;
+    private DatagramSocket socket;
+
+    private static String route(String name, String className, String pool) {
+        return "[[route]]\nname = \"" + name + "\"\nclass = \"" + className + "\"\npools = { " + pool + " = 1 }\n";
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        rig = new Rig(folder);
+        host = rig.host("h", "bilbao", 1_000);
+        one = new StandInRadiusServer("one", "one", effects, SECRET, 1_000);
+        two = new StandInRadiusServer("two", "two", effects, SECRET, 1_000);
+        socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+        rig.save("secret", "both hops'\n");
+        rig.save("main.toml", Rig.list(Rig.node(host, "bilbao", "")));
+        rig.save("cards.toml", Rig.list(node(one, "")));
+        rig.save("other.toml", Rig.list(node(two, "")));
+    }
+
+    @AfterEach
+    void stop() {
+        rig.close();
+        one.close();
+        two.close();
+        socket.close();
+    }
+
+    private static String node(StandInRadiusServer server, String more) {
+        return "[[node]]\nuid = \"" + server.name() + "\"\nendpoint = \"" + server.endpoint() + "\"\nzone = \"bilbao\"\n" + more;
+    }
+
+    private void serve() throws Exception {
+        rig.gateway(CLASSES + LISTENER + POOLS + ROUTES);
+        rig.start();
+    }
+
+    private Packet access(int identifier) {
+        byte[] authenticator = new byte[16];
+        authenticator[3] = (byte) identifier;
+        return charger.signRequest(new Packet(Code.ACCESS_REQUEST, identifier, authenticator, List.of()));
+    }
+
+    private Packet start(int identifier, int delay) {
+        return charger.signRequest(new Packet(Code.ACCOUNTING_REQUEST, identifier, new byte[16], List.of(
+                new Attribute(Attribute.ACCT_STATUS_TYPE, new byte[] {0, 0, 0, 1}),
+                new Attribute(Attribute.ACCT_SESSION_ID, new byte[] {7}),
+                new Attribute(Attribute.ACCT_DELAY_TIME, new byte[] {0, 0, 0, (byte) delay}))));
+    }
+
+    /** The answer within so many milliseconds, or null. */
+    private Packet ask(Packet request, int millis) throws Exception {
+        byte[] bytes = request.write();
+        socket.send(new DatagramPacket(bytes, bytes.length, rig.service.radiusAddresses().get(0)));
+        socket.setSoTimeout(millis);
+        DatagramPacket datagram = new DatagramPacket(new byte[5000], 5000);
+        try {
+            socket.receive(datagram);
+        } catch (SocketTimeoutException e) {
+            return null;
+        }
+        Packet answer = Packet.read(Arrays.copyOf(datagram.getData(), datagram.getLength()));
+        assertTrue(charger.answers(answer, request.authenticator(), false));
+        return answer;
+    }
+
+    @Test
+    void cardsAndAccountsGoToTheirServersAndAreCountedBesideHttp() throws Exception {
+        serve();
+        assertEquals(Code.ACCESS_ACCEPT, ask(access(1), 20_000).code());
+        assertEquals(Code.ACCOUNTING_RESPONSE, ask(start(2, 0), 20_000).code());
+        assertEquals("h", rig.answering(3));
+        assertEquals(2, one.runs());
+        assertEquals("[1, 1, 3]", rig.service.count(count -> List.of(count.of("card").served(),
+                count.of("accounting").served(), count.of("session-read").served())).toString());
+    }
+
+    /** The hard case of a start that may have run at a server that then drains: its next try, with a new identifier, must not
+        run at servers that don't know it, though the route has a fallback. */
+    @Test
+    void aStartThatMayHaveRunIsNotTakenElsewhereByADrain() throws Exception {
+        serve();
+        one.manner(Manner.SILENT);
+        assertEquals(null, ask(start(1, 0), 2_000), "silence for a failure");
+        assertEquals(1, one.runs());
+        rig.save("cards.toml", Rig.list(node(one, "state = \"drain\"\n")));
+        rig.awaitLog("changed pools [cards]");
+        assertEquals(null, ask(start(2, 5), 500), "refused: its servers are gone, and the window is open");
+        assertEquals(0, two.runs());
+        one.manner(Manner.SERVE);
+        rig.save("cards.toml", Rig.list(node(one, "")));
+        rig.await(() -> rig.log().split("changed pools \\[cards]", -1).length > 2, "it is back");
+        Packet answer = null;
+        for (int tries = 0; answer == null; tries++) {  // as a charger does: a refusal is silence
+            assertTrue(tries < 60, rig.log());
+            answer = ask(start(3, 9), 500);
+        }
+        assertEquals(Code.ACCOUNTING_RESPONSE, answer.code());
+        assertEquals(0, effects.twice());
+        assertEquals(1, effects.dropped(), "its own server dropped the repeat");
+    }
+
+    @Test
+    void aDrainedServerGetsNothingNewAndTheOthersServe() throws Exception {
+        rig.save("cards.toml", Rig.list(node(one, ""), node(two, "")));
+        rig.save("other.toml", Rig.list());
+        serve();
+        for (int i = 0; i < 40; i++) {
+            ask(access(i), 20_000);
+        }
+        assertTrue(one.runs() > 5 && two.runs() > 5, one.runs() + " and " + two.runs());
+        rig.save("cards.toml", Rig.list(node(one, "weight = 0\n"), node(two, "")));
+        rig.awaitLog("changed pools [cards]");
+        long told = System.nanoTime();
+        for (int i = 40; i < 80; i++) {
+            assertEquals(Code.ACCESS_ACCEPT, ask(access(i), 20_000).code());
+        }
+        assertTrue(one.lastAt() < told + 250_000_000L);
+    }
+
+    /** Neither takes the other's requests: a class of RADIUS asked over HTTP finds no route. */
+    @Test
+    void aCardAskedOverHttpIsNotFound() throws Exception {
+        serve();
+        try (var client = rig.client()) {
+            assertEquals(404, client.ask("GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: 1\r\nX-Qos: card\r\n"
+                    + "X-Expires-In-Ms: 1000\r\n\r\n", "").status());
+        }
+        assertEquals(0, one.runs());
+    }
+
+    /** A flood of HTTP beside RADIUS: every card is answered. */
+    @Test
+    void cardsAreAnsweredThroughAFloodOfHttp() throws Exception {
+        serve();
+        try (Load load = new Load(rig.service.address(), 32, 0, 2_000, 60)) {
+            rig.await(() -> load.status(200) > 500, "the flood is on");
+            for (int i = 0; i < 100; i++) {
+                assertEquals(Code.ACCESS_ACCEPT, ask(access(i), 20_000).code());
+            }
+            load.stop();
+            assertEquals(0, load.failed() + load.foreign());
+        }
+    }
+
+    private String refusal(String gateway) throws IOException {
+        rig.gateway(gateway);
+        return assertThrows(IllegalArgumentException.class, rig::start).getMessage();
+    }
+
+    @Test
+    void whatIsWrongIsNamed() throws Exception {
+        String all = CLASSES + LISTENER + POOLS + ROUTES;
+        assertTrue(refusal(all.replace("network = \"127.0.0.0/8\"", "network = \"127.0.0.0/33\""))
+                .contains("client[1].network: expected ADDRESS/PREFIX in digits, found \"127.0.0.0/33\""));
+        assertTrue(refusal(all.replace("access_class = \"card\"", "access_class = \"accounting\""))
+                .contains("expected a class whose effect is safe, found accounting, which is keyed"));
+        assertTrue(refusal(all.replace("conversation_class = \"talk\"\n", "")).contains(
+                "radius[1].conversation_class: expected the name of a class, found nothing"));
+        assertTrue(refusal(all.replace("network = \"127.0.0.0/8\"\nsecret_file = \"secret\"", "network = \"127.0.0.0/8\""))
+                .contains("expected secret_file or secret_variable, found neither"));
+        assertTrue(refusal(all.replace("secret_file = \"secret\"", "secret_file = \"none\""))
+                .contains("secret_file none: expected a file, found none"));
+        assertTrue(refusal(all.replace("secret_file = \"secret\"", "secret_variable = \"MASTDRIFT_NOT_SET\""))
+                .contains("secret_variable MASTDRIFT_NOT_SET: expected a value in the environment, found none"));
+        assertTrue(refusal(all.replace(route("cards", "card", "cards"), route("cards", "card", "main")))
+                .contains("route cards: expected pools of RADIUS servers for class card, found pool main of HTTP hosts"));
+        assertTrue(refusal(all.replace(route("reads", "session-read", "main"), route("reads", "session-read", "cards")))
+                .contains("for pool cards has RADIUS servers"));
+        Files.writeString(folder.resolve("secret"), "\n");
+        assertTrue(refusal(all).contains("secret_file secret: expected 1 to 4096 bytes, found none"));
+    }
+}
