--- a/src/test/java/mastdrift/files/WatcherTest.java
+++ b/src/test/java/mastdrift/files/WatcherTest.java
@@ -191,17 +191,20 @@
         awaitNodes(11);
     }
 
-    /** As on a file system that tells nothing: size and time say the same, and only the content has changed. */
+    /** As on a file system that tells nothing: no event comes, size and time say the same, and only the content differs. */
     @Test
     void contentAloneHasChanged() throws Exception {
-        start();
         Path file = folder.resolve("main.toml");
-        FileTime time = Files.getLastModifiedTime(file);
+        FileTime time = FileTime.fromMillis(1_700_000_000_000L);  // whole seconds: finer ones are not set as they are read
+        Files.setLastModifiedTime(file, time);
+        assertEquals(List.of(), watcher.first());
+        assertEquals(1.5, await().nodes().get("main").get(0).weight());
         String text = Files.readString(file).replaceFirst("weight = 1.5", "weight = 1.6");
         try (RandomAccessFile writer = new RandomAccessFile(file.toFile(), "rw")) {
             writer.write(text.getBytes(StandardCharsets.UTF_8));
         }
         Files.setLastModifiedTime(file, time);
+        watcher.start();  // only now, so that nothing tells of the change
         assertEquals(1.6, await().nodes().get("main").get(0).weight());
     }
 
--- a/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
+++ b/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
@@ -331,6 +331,31 @@
         assertEquals(90, servers.stream().mapToLong(StandInRadiusServer::runs).sum());
     }
 
+    /** Where its server drains, a conversation ends in silence: another server's reject would be for no card. */
+    @Test
+    void aConversationWhoseServerDrainsIsTakenToNoOther() throws Exception {
+        for (String name : List.of("one", "two", "three")) {
+            server(name, 1_000).manner(Manner.CHALLENGE);
+        }
+        list();
+        DatagramSocket socket = socket();
+        Packet first = access(1);
+        send(socket, first.write());
+        byte[] state = answered(socket, first).first(Attribute.STATE);
+        list(new String(state, StandardCharsets.US_ASCII).split(" ")[0]);
+        send(socket, charger.signRequest(new Packet(Code.ACCESS_REQUEST, 2, authenticator(2),
+                List.of(new Attribute(Attribute.STATE, state)))).write());
+        await(() -> {
+            try {
+                return onLoop(() -> ledger.count().of("conversation").refused() + ledger.count().of("conversation").failed()) == 1;
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }, "given up at once");
+        nothingMore(socket);
+        assertEquals(1, servers.stream().mapToLong(StandInRadiusServer::runs).sum());
+    }
+
     /** Three servers behind a network that loses, doubles and holds back a twentieth each, both ways on both sides, one server
         slowed, one drained: everything is answered once, and counts at chargers and ledger agree. */
     @Test
