RADIUS: no resend to a server that was restarted, conversations routed as their cards

A resend of the same packet went on to the restarted process, which knows no resend and runs the accounting twice where its group keeps nothing. Also nothing checked that cards and conversations are routed alike, and the answers kept for one address were bound by a constant.

Change: another start of a server (`born`) is another server to the transport, as another address was already: what is out there gets no resend, and what answers from there is no answer to it. `check` refuses routes by which a conversation would not find its server. `kept_most` says how many answers a listener keeps. Pool.living() had no caller and is gone.

Seen: the test of the restarted server fails without the change (2 runs), Error-Cause and Reply-Message pass in their order, the two route errors are named with what was found.

--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -104,6 +104,7 @@
         root.noMore();
         Map<String, List<Node>> nodes = nodes(pools, gateway.zones(), files);
         fit(root, radius, routes, pools);
+        radius.forEach(each -> alike(root, each, routes));
         return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes);
     }
 
@@ -191,7 +192,8 @@
                     radiusClass(section, "access_class", classes, Repeat.SAFE),
                     radiusClass(section, "conversation_class", classes, Repeat.UNSAFE),
                     radiusClass(section, "accounting_class", classes, Repeat.KEYED), clients,
-                    section.span("kept", 30 * SECOND, SECOND, 10 * MINUTE)));
+                    section.span("kept", 30 * SECOND, SECOND, 10 * MINUTE),
+                    (int) section.whole("kept_most", 1 << 16, 1 << 10, 1 << 20)));
             section.noMore();
         }
         return listeners;
@@ -262,6 +264,32 @@
         }
     }
 
+    /** A conversation is held by the server that its card went to: the routes that may take the one have to lead, in their
+        order and by the same conditions, where those of the other do. */
+    private static void alike(Section root, RadiusSettings radius, List<Route> routes) {
+        List<Route> cards = ways(radius.accessClass(), routes);
+        List<Route> talks = ways(radius.conversationClass(), routes);
+        if (!cards.equals(talks)) {
+            root.problem("route", "radius " + radius.name() + ": expected the routes of class " + radius.conversationClass()
+                    + " to lead where those of class " + radius.accessClass() + " do, or conversations lose their server; found "
+                    + words(talks) + " and " + words(cards));
+        }
+    }
+
+    /** The routes that may take a class, without their names and the class itself. */
+    private static List<Route> ways(String className, List<Route> routes) {
+        return routes.stream().filter(route -> route.match().className() == null
+                || route.match().className().equals(className)).map(route -> new Route("",
+                        new Match(null, route.match().tenant(), route.match().pathPrefix(), route.match().headerName(),
+                                route.match().headerValue(), route.match().zone()), route.targets(), route.fallback())).toList();
+    }
+
+    private static String words(List<Route> routes) {
+        return routes.isEmpty() ? "none" : routes.stream().map(route -> route.targets().stream()
+                .map(target -> target.pool() + " " + Section.shown(target.weight())).toList()
+                + (route.fallback() == null ? "" : " else " + route.fallback())).toList().toString();
+    }
+
     private PoolSettings pool(String name, Section section) {
         word(section, "", name);
         List<String> files = section.texts("nodes", Configuration.FILES_MOST);
--- a/src/main/java/mastdrift/config/RadiusSettings.java
+++ b/src/main/java/mastdrift/config/RadiusSettings.java
@@ -12,9 +12,10 @@
  * @param accountingClass the class of accounting
  * @param clients who may send, by address range
  * @param kept microseconds for which an answer is kept for resends
+ * @param keptMost answers that are kept at once, a quarter of them for one address
  */
 public record RadiusSettings(String name, String listen, String accessClass, String conversationClass,
-        String accountingClass, List<Client> clients, long kept) {
+        String accountingClass, List<Client> clients, long kept, int keptMost) {
 
     /**
      * Chargers behind one address range.
--- a/src/main/java/mastdrift/config/Section.java
+++ b/src/main/java/mastdrift/config/Section.java
@@ -128,7 +128,7 @@
         return required(key, "a number from " + shown(least) + " to " + shown(most), real(key, least, most), least);
     }
 
-    private static String shown(double number) {
+    static String shown(double number) {
         return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
     }
 
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -49,11 +49,6 @@
         return settings;
     }
 
-    /** Requests of this pool of which something is still out. */
-    public int living() {
-        return living;
-    }
-
     Balancer module() {
         return module;
     }
--- a/src/main/java/mastdrift/measure/RadiusBurstMeasurement.java
+++ b/src/main/java/mastdrift/measure/RadiusBurstMeasurement.java
@@ -99,6 +99,11 @@
             class = "card"
             pools = { cards = 1 }
 
+            [[route]]
+            name = "talks"
+            class = "talk"
+            pools = { cards = 1 }
+
             [[route]]
             name = "accounts"
             class = "accounting"
--- a/src/main/java/mastdrift/measure/RadiusMeasurement.java
+++ b/src/main/java/mastdrift/measure/RadiusMeasurement.java
@@ -85,6 +85,11 @@
             name = "cards"
             class = "card"
             pools = { cards = 1 }
+
+            [[route]]
+            name = "talks"
+            class = "talk"
+            pools = { cards = 1 }
             # end
             """;
 
--- a/src/main/java/mastdrift/radius/edge/RadiusTransport.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusTransport.java
@@ -69,11 +69,20 @@
         private final Identifiers identifiers = new Identifiers(PORTS_MOST, REST);
         private final List<ChannelFuture> ports = new ArrayList<>();
         private final Map<Slot, Sent> out = new HashMap<>();
-        private InetSocketAddress at;
+        private final InetSocketAddress at;
+        private final long born;
         private long sendUntil = Long.MAX_VALUE;
 
-        Peer(byte[] secret) {
+        Peer(byte[] secret, Member member) {
             this.secret = new Authenticators(secret);
+            at = member.at();
+            born = member.host().born();
+        }
+
+        /** Another address or another start is another server, which knows nothing of what was sent to this one: it would
+            take a resend as new, and nothing that is out may be answered from there. */
+        private boolean same(Member member) {
+            return (member.at() == null || member.at().equals(at)) && member.host().born() == born;
         }
 
         /** Connected, so that the kernel drops what comes from elsewhere. */
@@ -107,14 +116,13 @@
             String uid = member.host().address();
             named.add(uid);
             Peer peer = peers.get(uid);
-            if (peer != null && member.at() != null && !member.at().equals(peer.at)) {
-                remove(uid, toldAt);  // another address is another server: nothing that is out may be answered from there
+            if (peer != null && !peer.same(member)) {
+                remove(uid, toldAt);
                 peer = null;
             }
             byte[] secret = peer == null ? secrets.apply(uid) : null;
             if (peer == null && secret != null) {
-                peer = new Peer(secret);
-                peer.at = member.at();
+                peer = new Peer(secret, member);
                 peers.put(uid, peer);
             }
             if (peer != null) {
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -67,9 +67,8 @@
     private static final int OPEN_MOST = 20_000;
     private static final long RETRY_AFTER_MOST = 2_000_000;
     private static final long RETIRE_MILLIS = 1_000;
-    // Of answers that are kept for a listener's resends.
-    private static final int RESENDS_MOST = 1 << 16;
-    private static final int RESENDS_BYTES = 16 << 20;
+    // Of answers that are kept for a listener's resends: what all may hold, for each that may be.
+    private static final int KEPT_BYTES = 256;
 
     /** A pool as requests find it. */
     private static final class Served {
@@ -331,7 +330,7 @@
         return new RadiusFront(loop, ledger, (className, tenant, key) -> radiusPool(types.get(className), tenant, key), chargers,
                 new RadiusFront.Classes(settings.accessClass(), settings.conversationClass(), settings.accountingClass(),
                         types.get(settings.accessClass()).deadline(), types.get(settings.accountingClass()).deadline()),
-                new Resends(settings.kept(), RESENDS_MOST, RESENDS_BYTES), drops);
+                new Resends(settings.kept(), settings.keptMost(), settings.keptMost() * KEPT_BYTES), drops);
     }
 
     private Pool radiusPool(RequestClass type, String tenant, long key) {
--- a/src/main/java/mastdrift/standin/StandInRadiusServer.java
+++ b/src/main/java/mastdrift/standin/StandInRadiusServer.java
@@ -24,6 +24,7 @@
 public final class StandInRadiusServer implements AutoCloseable {
 
     private static final int REQUESTS_MOST = 1000;
+    private static final int ERROR_CAUSE = 101;
 
     /** What it does with a request. */
     public enum Manner {
@@ -35,6 +36,8 @@
         LIE,
         /** Runs it and answers twice. */
         TWICE,
+        /** Rejects every card, and says why in an Error-Cause (RFC 5176, 3.6) and a Reply-Message. */
+        REJECT,
         /** Challenges a card twice before it accepts it, and rejects a State that it did not give. */
         CHALLENGE
     }
@@ -55,6 +58,7 @@
     private volatile long lastAt;
     private volatile long work;
     private volatile Manner manner = Manner.SERVE;
+    private volatile boolean restarted;
 
     /** Listens on a free port of 127.0.0.1; {@code work} in microseconds. Servers of one {@code group} drop one another's
         repeats of an accounting effect. */
@@ -88,6 +92,10 @@
     }
 
     private void take(Authenticators own, DatagramPacket from, Packet request) throws IOException {
+        if (restarted) {
+            restarted = false;
+            answered.clear();
+        }
         String identity = from.getSocketAddress() + "/" + request.identifier() + "/" + Arrays.toString(request.authenticator());
         byte[] before = answered.get(identity);
         if (before != null || answered.containsKey(identity)) {
@@ -114,7 +122,11 @@
         back.add(new Attribute(18, name.getBytes(StandardCharsets.US_ASCII)));
         request.attributes().stream().filter(a -> a.type() == Attribute.PROXY_STATE).forEach(back::add);
         boolean accounting = request.code() == Code.ACCOUNTING_REQUEST;
-        Code accepts = manner == Manner.CHALLENGE && request.code() == Code.ACCESS_REQUEST ? challenge(request, back)
+        if (manner == Manner.REJECT) {
+            back.add(new Attribute(ERROR_CAUSE, new byte[] {0, 0, 1, (byte) 0x91}));  // 401: unsupported attribute
+            back.add(new Attribute(18, "card unknown here".getBytes(StandardCharsets.US_ASCII)));
+        }
+        Code accepts = manner == Manner.REJECT ? Code.ACCESS_REJECT : manner == Manner.CHALLENGE && request.code() == Code.ACCESS_REQUEST ? challenge(request, back)
                 : Code.ACCESS_ACCEPT;
         byte[] answer = own.signAnswer(new Packet(accounting ? Code.ACCOUNTING_RESPONSE : accepts,
                 request.identifier(), request.authenticator(), back), request.authenticator(), !accounting).write();
@@ -190,6 +202,11 @@
         manner = next;
     }
 
+    /** As after a restart on the same port: it knows none of the packets that it took, so that a resend is new to it. */
+    public void restart() {
+        restarted = true;
+    }
+
     /** From now on a request takes so many microseconds. */
     public void work(long micros) {
         work = micros;
--- a/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
+++ b/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
@@ -222,6 +222,17 @@
         return answer;
     }
 
+    /** That one accounting request has failed. */
+    private void awaitFailed() throws InterruptedException {
+        await(() -> {
+            try {
+                return onLoop(() -> ledger.count().of("accounting").failed()) == 1;
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }, "it fails in time");
+    }
+
     private long dropped(Drops.Cause cause) throws Exception {
         return onLoop(() -> drops.count(cause));
     }
@@ -481,8 +492,44 @@
                 .filter(a -> a.type() == Attribute.PROXY_STATE).toList());
     }
 
+    /** What a server says of its refusal passes on as it is: Error-Cause (RFC 5176, 3.6) and Reply-Message, in their order. */
+    @Test
+    void aRejectKeepsItsCause() throws Exception {
+        server("one", 1_000).manner(Manner.REJECT);
+        list();
+        DatagramSocket socket = socket();
+        Packet request = access(1);
+        send(socket, request.write());
+        Packet answer = answered(socket, request);
+        assertEquals(Code.ACCESS_REJECT, answer.code());
+        assertEquals(List.of(new Attribute(18, "one".getBytes(StandardCharsets.US_ASCII)),
+                new Attribute(101, new byte[] {0, 0, 1, (byte) 0x91}),
+                new Attribute(18, "card unknown here".getBytes(StandardCharsets.US_ASCII))), answer.attributes().stream()
+                        .filter(a -> a.type() != Attribute.MESSAGE_AUTHENTICATOR).toList());
+    }
+
     // ---- the rules
 
+    /** The hard case of a server that was restarted between two tries: it knows nothing of the packet that it ran before, so
+        the same packet is not sent to it again, and the start fails without a second run. */
+    @Test
+    void aServerThatWasRestartedGetsNoResend() throws Exception {
+        StandInRadiusServer server = server("one", 1_000);
+        server.manner(Manner.SILENT);
+        list();
+        DatagramSocket socket = socket();
+        send(socket, accounting(1, "s1", 0).write());
+        await(() -> server.runs() == 1, "it runs");
+        server.restart();
+        server.manner(Manner.SERVE);
+        learn(List.of(new Member(new Host("one", "a", 0, "", 1, Health.UP, clock.now()),
+                new InetSocketAddress("127.0.0.1", server.port()))));
+        awaitFailed();
+        assertEquals(1, server.runs(), "the same packet was not sent to what is another server now");
+        assertEquals(0, effects.twice());
+        nothingMore(socket);
+    }
+
     /** Silence for a failure: an accounting packet that may have run goes nowhere else, and the ledger has one answer. */
     @Test
     void accountingThatMayHaveRunGoesNowhereElse() throws Exception {
@@ -491,13 +538,7 @@
         list();
         DatagramSocket socket = socket();
         send(socket, accounting(1, "s1", 0).write());
-        await(() -> {
-            try {
-                return onLoop(() -> ledger.count().of("accounting").failed()) == 1;
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        }, "it fails in time");
+        awaitFailed();
         assertEquals(1, servers.get(0).runs() + servers.get(1).runs());
         nothingMore(socket);
         assertEquals(0, onLoop(() -> ledger.open()));
--- a/src/test/java/mastdrift/serve/RadiusServiceTest.java
+++ b/src/test/java/mastdrift/serve/RadiusServiceTest.java
@@ -264,6 +264,12 @@
                 .contains("route cards: expected pools of RADIUS servers for class card, found pool main of HTTP hosts"));
         assertTrue(refusal(all.replace(route("reads", "session-read", "main"), route("reads", "session-read", "cards")))
                 .contains("for pool cards has RADIUS servers"));
+        assertTrue(refusal(all.replace(route("talks", "talk", "cards"), route("talks", "talk", "other"))).contains("radius "
+                + "chargers: expected the routes of class talk to lead where those of class card do, or conversations lose "
+                + "their server; found [[other 1]] and [[cards 1]]"));
+        assertTrue(refusal(all.replace(route("talks", "talk", "cards"), "")).contains("found none and [[cards 1]]"));
+        assertTrue(refusal(all.replace("listen = \"127.0.0.1:0\"\naccess", "listen = \"127.0.0.1:0\"\nkept_most = 10\naccess"))
+                .contains("radius[1].kept_most: expected"));
         Files.writeString(folder.resolve("secret"), "\n");
         assertTrue(refusal(all).contains("secret_file secret: expected 1 to 4096 bytes, found none"));
     }
