--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -13,7 +12,6 @@
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import mastdrift.Balancer.Group;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Links;
 import mastdrift.Balancer.Repeat;
@@ -26,10 +24,6 @@
 import mastdrift.membership.Overrides.Override;
 import mastdrift.routing.Match;
 import mastdrift.routing.Route;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseError;
-import org.tomlj.TomlParseResult;
-import org.tomlj.TomlPosition;
 
 /**
  * Reads the gateway's file and the node lists that it includes (TOML 1.0). All problems are reported at once, each with
@@ -40,7 +34,6 @@
     private static final long MILLI = 1000;
     private static final long SECOND = 1000 * MILLI;
     private static final long MINUTE = 60 * SECOND;
-    private static final Pattern WORD = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final Pattern ENDPOINT = Pattern.compile(
             "(?:\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(\\d{1,5})");
 
@@ -72,27 +65,19 @@
         return new Result(reader.problems.none() ? configuration : null, reader.problems.lines(), List.copyOf(files));
     }
 
-    private Section parse(String file, String text) {
-        TomlParseResult parsed = Toml.parse(text);
-        for (TomlParseError error : parsed.errors()) {
-            problems.add(new Problem(file, error.position().line(), error.position().column(), error.getMessage()));
-        }
-        return parsed.hasErrors() ? null : new Section(file, "", parsed, TomlPosition.positionAt(1, 1), problems);
-    }
-
     private Configuration whole(String file, Set<String> files) {
         String text = texts.text(file, problems);
         if (text == null) {
             return null;
         }
         Closing.check(file, text, -1, problems);
-        Section root = parse(file, text);
+        Section root = Section.root(file, text, problems);
         if (root == null) {
             return null;
         }
         GatewaySettings gateway = gateway(root.section("gateway"));
-        List<RequestClass> classes = classes(root);
-        List<Tenant> tenants = tenants(root);
+        List<RequestClass> classes = Tables.classes(root);
+        List<Tenant> tenants = Tables.tenants(root);
         Map<String, PoolSettings> pools = new TreeMap<>();
         root.named("pool", Configuration.POOLS_MOST).forEach((name, section) -> pools.put(name, pool(name, section)));
         if (pools.isEmpty()) {
@@ -116,10 +101,10 @@
         if (zones.isEmpty()) {
             section.problem("zones", "expected the names of all data centres, found none");
         } else if (!zones.contains(zone)) {
-            section.problem("zone", expectedOne("zones", zones, zone));
+            section.problem("zone", Tables.expectedOne("zones", zones, zone));
         }
         int gateways = (int) section.whole("gateways", 1, 1, 1000);
-        GatewaySettings gateway = new GatewaySettings(word(section, "name", section.text("name", "gateway")),
+        GatewaySettings gateway = new GatewaySettings(Tables.word(section, "name", section.text("name", "gateway")),
                 endpoint(section, "listen", section.requiredText("listen")), zone, zones,
                 (int) section.whole("number", 0, 0, gateways - 1), gateways,
                 (int) section.whole("connections", 1024, 8, 1 << 16), section.text("status_file"),
@@ -128,58 +113,13 @@
         return gateway;
     }
 
-    private List<RequestClass> classes(Section root) {
-        List<RequestClass> classes = new ArrayList<>();
-        Set<String> met = Section.met();
-        for (Section section : root.sections("class", 64)) {
-            String name = word(section, "name", section.requiredText("name"));
-            section.once("name", name, met);
-            Repeat repeat = section.word("effect", null, List.of("safe", "keyed", "unsafe"), List.of(Repeat.values()));
-            if (repeat == null && !section.has("effect")) {
-                section.problem("effect", "expected safe, keyed or unsafe, found nothing");
-            }
-            boolean keyed = repeat == Repeat.KEYED;
-            if (!keyed && (section.has("group") || section.has("dedup_window"))) {
-                section.problem("group and dedup_window are for keyed classes alone");
-            }
-            Group group = section.word("group", keyed ? Group.ZONE : Group.ALL, List.of("all", "zone", "cell"),
-                    List.of(Group.values()));
-            long window = keyed ? section.requiredSpan("dedup_window", MILLI, 60 * MINUTE) : 0;
-            long aim = section.requiredSpan("aim", MILLI, 10 * MINUTE);
-            long deadline = section.requiredSpan("deadline", MILLI, 10 * MINUTE);
-            if (aim > deadline) {
-                section.problem("aim", "expected no more than the deadline");
-            }
-            classes.add(new RequestClass(name, aim, 0, deadline, section.real("worth", 1, 0.001, 1e6),
-                    section.real("late_worth", 0.5, 0, 1), repeat == null ? Repeat.UNSAFE : repeat, group, window, false));
-            section.noMore();
-        }
-        if (classes.isEmpty()) {
-            root.problem("class", "expected at least one class, [[class]], found none");
-        }
-        return classes;
-    }
-
-    private List<Tenant> tenants(Section root) {
-        List<Tenant> tenants = new ArrayList<>();
-        Set<String> met = Section.met();
-        for (Section section : root.sections("tenant", 1000)) {
-            String name = word(section, "name", section.requiredText("name"));
-            section.once("name", name, met);
-            tenants.add(new Tenant(name, section.real("share", 1, 0, 1),
-                    section.requiredReal("requests_per_second", 0.001, 1e7)));
-            section.noMore();
-        }
-        return tenants;
-    }
-
     // ---- RADIUS
 
     private List<RadiusSettings> radius(Section root, List<RequestClass> classes, List<Tenant> tenants) {
         List<RadiusSettings> listeners = new ArrayList<>();
         Set<String> met = Section.met();
         for (Section section : root.sections("radius", 16)) {
-            String name = word(section, "name", section.requiredText("name"));
+            String name = Tables.word(section, "name", section.requiredText("name"));
             section.once("name", name, met);
             List<RadiusSettings.Client> clients = new ArrayList<>();
             for (Section client : section.sections("client", 1000)) {
@@ -200,7 +140,7 @@
     }
 
     private static String radiusClass(Section section, String key, List<RequestClass> classes, Repeat repeat) {
-        String name = among(section, key, classes.stream().map(RequestClass::name).toList());
+        String name = Tables.among(section, key, classes.stream().map(RequestClass::name).toList());
         if (name == null) {
             section.problem(key, "expected the name of a class, found nothing");
         }
@@ -224,9 +164,9 @@
         if (secret == null) {
             section.problem("expected secret_file or secret_variable, found neither");
         }
-        RadiusSettings.Client client = new RadiusSettings.Client(word(section, "name", section.requiredText("name")),
+        RadiusSettings.Client client = new RadiusSettings.Client(Tables.word(section, "name", section.requiredText("name")),
                 fits ? matcher.group(1) : "0.0.0.0", fits ? Integer.parseInt(matcher.group(2)) : 32, secret,
-                among(section, "tenant", tenants.stream().map(Tenant::name).toList()),
+                Tables.among(section, "tenant", tenants.stream().map(Tenant::name).toList()),
                 section.flag("message_authenticator", true));
         section.noMore();
         return client;
@@ -291,7 +231,7 @@
     }
 
     private PoolSettings pool(String name, Section section) {
-        word(section, "", name);
+        Tables.word(section, "", name);
         List<String> files = section.texts("nodes", Configuration.FILES_MOST);
         Set<String> met = Section.met();
         files.forEach(file -> section.once("nodes", file, met));
@@ -301,9 +241,7 @@
         }
         Links links = new Links(section.span("dial_timeout", 250 * MILLI, MILLI, MINUTE),
                 section.span("idle", 15 * SECOND, 100 * MILLI, 60 * MINUTE), 1);
-        Rules rules = new Rules(50 * MILLI, section.span("drain_grace", 250 * MILLI, 60 * MILLI, MINUTE), 0,
-                section.real("cold_from", 0.13, 0.001, 1), section.span("warm_within", 24 * SECOND, MILLI, 60 * MINUTE),
-                section.real("fall_multiple", 3, 0.1, 1000), section.span("fall_span", 2 * SECOND, MILLI, 10 * MINUTE));
+        Rules rules = Tables.rules(section);
         Section below = section.section("guards");
         Guards.Limits usual = Guards.Limits.USUAL;
         Guards.Limits guards = new Guards.Limits(below.real("pool_drop_most", usual.poolDropMost(), 0, 1),
@@ -328,16 +266,16 @@
         List<String> tenantNames = tenants.stream().map(Tenant::name).toList();
         List<Section> sections = root.sections("route", Configuration.ROUTES_MOST);
         for (Section section : sections) {
-            String name = word(section, "name", section.requiredText("name"));
+            String name = Tables.word(section, "name", section.requiredText("name"));
             section.once("name", name, met);
             Section header = section.section("header");
             boolean byHeader = section.has("header");
-            Match match = new Match(among(section, "class", classNames), among(section, "tenant", tenantNames),
-                    path(section), byHeader ? word(header, "name", header.requiredText("name")) : null,
-                    byHeader ? header.text("value") : null, among(section, "zone", zones));
+            Match match = new Match(Tables.among(section, "class", classNames), Tables.among(section, "tenant", tenantNames),
+                    path(section), byHeader ? Tables.word(header, "name", header.requiredText("name")) : null,
+                    byHeader ? header.text("value") : null, Tables.among(section, "zone", zones));
             header.noMore();
-            String fallback = among(section, "fallback", List.copyOf(pools));
-            List<Route.Target> targets = targets(section, pools);
+            String fallback = Tables.among(section, "fallback", List.copyOf(pools));
+            List<Route.Target> targets = Tables.targets(section, pools);
             if (targets.stream().noneMatch(target -> target.weight() > 0)) {
                 section.problem("pools", "expected a pool with a weight above 0, found none");
             } else {
@@ -355,18 +293,6 @@
         return routes;
     }
 
-    private List<Route.Target> targets(Section route, Set<String> pools) {
-        Section weights = route.section("pools");
-        Map<String, Route.Target> targets = new LinkedHashMap<>();
-        for (String pool : pools) {
-            if (weights.has(pool)) {
-                targets.put(pool, new Route.Target(pool, weights.real(pool, 0, 0, 1e6)));
-            }
-        }
-        weights.noMore();
-        return List.copyOf(targets.values());
-    }
-
     private static String path(Section section) {
         String path = section.text("path");
         if (path != null && !path.startsWith("/")) {
@@ -426,7 +352,7 @@
         if (text == null) {
             return;
         }
-        Section root = parse(file, text);
+        Section root = Section.root(file, text, problems);
         if (root == null) {
             Closing.present(file, text, problems);
             return;
@@ -452,10 +378,10 @@
     }
 
     private Node node(Section section, PoolSettings pool, List<String> zones) {
-        String uid = word(section, "uid", section.requiredText("uid"));
+        String uid = Tables.word(section, "uid", section.requiredText("uid"));
         String endpoint = section.text("endpoint");
         boolean whole = pool.discovery() == null || endpoint != null;
-        String zone = among(section, "zone", zones);
+        String zone = Tables.among(section, "zone", zones);
         if (whole && endpoint == null) {
             section.problem("endpoint", "expected ADDRESS:PORT, found nothing");
         }
@@ -473,13 +399,6 @@
 
     // ---- values
 
-    private static String word(Section section, String key, String word) {
-        if (!word.equals("?") && !WORD.matcher(word).matches()) {
-            section.problem(key, "expected up to 64 letters, digits, dots, - and _, found \"" + word + "\"");
-        }
-        return word;
-    }
-
     private static String endpoint(Section section, String key, String text) {
         Matcher matcher = ENDPOINT.matcher(text);
         boolean fits = matcher.matches() && Integer.parseInt(matcher.group(1)) <= 65_535;
@@ -493,19 +412,4 @@
         }
         return text;
     }
-
-    private static String among(Section section, String key, List<String> names) {
-        String name = section.text(key);
-        if (name != null && !names.contains(name)) {
-            section.problem(key, expectedOne("those defined", names, name));
-        }
-        return name;
-    }
-
-    private static String expectedOne(String what, List<String> names, String found) {
-        String nearest = Section.nearest(found, names);
-        String listed = names.size() <= 8 ? " (" + String.join(", ", names) + ")" : "";
-        return "expected one of " + what + listed + ", found \"" + found + "\""
-                + (nearest == null ? "" : "; did you mean " + nearest + "?");
-    }
 }
--- a/src/main/java/mastdrift/config/Section.java
+++ b/src/main/java/mastdrift/config/Section.java
@@ -13,12 +13,14 @@
 import java.util.regex.Pattern;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
 
 /** A table of a TOML file, read key by key. What is missing, of another type or out of range is a problem with its place,
     and reads as the value that stands for it, so that all problems of a file are found at once. */
-final class Section {
+public final class Section {
 
     private static final Pattern SPAN = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(us|ms|s|m)");
 
@@ -38,22 +40,33 @@
         this.problems = problems;
     }
 
-    String place() {
+    /** The whole of a file; null where it is no TOML, which is a problem then. */
+    public static Section root(String file, String text, Problems problems) {
+        TomlParseResult parsed = Toml.parse(text);
+        for (TomlParseError error : parsed.errors()) {
+            problems.add(new Problem(file, error.position().line(), error.position().column(), error.getMessage()));
+        }
+        return parsed.hasErrors() ? null : new Section(file, "", parsed, TomlPosition.positionAt(1, 1), problems);
+    }
+
+    /** File, line and column of its beginning. */
+    public String place() {
         return file + ":" + place.line() + ":" + place.column();
     }
 
-    boolean has(String key) {
+    /** Whether it has a key, which is then a known one. */
+    public boolean has(String key) {
         known.add(key);
         return table.get(List.of(key)) != null;
     }
 
     /** A problem of the table as a whole. */
-    void problem(String text) {
+    public void problem(String text) {
         problems.add(new Problem(file, place.line(), place.column(), name + ": " + text));
     }
 
     /** A problem of one key, at its place where it is there. */
-    void problem(String key, String text) {
+    public void problem(String key, String text) {
         TomlPosition at = table.get(List.of(key)) == null ? place : table.inputPositionOf(List.of(key));
         problems.add(new Problem(file, at.line(), at.column(), name + "." + key + ": " + text));
     }
@@ -89,46 +102,53 @@
     }
 
     /** Null where it is not there. */
-    String text(String key) {
+    public String text(String key) {
         return value(key, "a text", null, value -> value instanceof String text && !text.isBlank() ? text : null);
     }
 
-    String text(String key, String absent) {
+    /** The text of a key, or {@code absent}. */
+    public String text(String key, String absent) {
         String text = text(key);
         return text == null ? absent : text;
     }
 
-    String requiredText(String key) {
+    /** The text of a key; a problem where it is not there, and then {@code "?"}. */
+    public String requiredText(String key) {
         return required(key, "a text", text(key), "?");
     }
 
-    boolean flag(String key, boolean absent) {
+    /** True or false. */
+    public boolean flag(String key, boolean absent) {
         return value(key, "true or false", absent, value -> value instanceof Boolean flag ? flag : null);
     }
 
-    long whole(String key, long absent, long least, long most) {
+    /** A whole number within bounds. */
+    public long whole(String key, long absent, long least, long most) {
         return value(key, "a whole number from " + least + " to " + most, absent,
                 value -> value instanceof Long number && number >= least && number <= most ? number : null);
     }
 
     /** Null where it is not there. */
-    Double real(String key, double least, double most) {
+    public Double real(String key, double least, double most) {
         return value(key, "a number from " + shown(least) + " to " + shown(most), null, value -> {
             Double number = value instanceof Long whole ? Double.valueOf(whole) : value instanceof Double real ? real : null;
             return number != null && number >= least && number <= most ? number : null;
         });
     }
 
-    double real(String key, double absent, double least, double most) {
+    /** A number within bounds. */
+    public double real(String key, double absent, double least, double most) {
         Double number = real(key, least, most);
         return number == null ? absent : number;
     }
 
-    double requiredReal(String key, double least, double most) {
+    /** A number within bounds; a problem where it is not there. */
+    public double requiredReal(String key, double least, double most) {
         return required(key, "a number from " + shown(least) + " to " + shown(most), real(key, least, most), least);
     }
 
-    static String shown(double number) {
+    /** A number as a person writes it. */
+    public static String shown(double number) {
         return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
     }
 
@@ -151,12 +171,14 @@
         });
     }
 
-    long span(String key, long absent, long least, long most) {
+    /** A time with its unit, in microseconds, within bounds. */
+    public long span(String key, long absent, long least, long most) {
         Long span = span(key, least, most);
         return span == null ? absent : span;
     }
 
-    long requiredSpan(String key, long least, long most) {
+    /** Likewise; a problem where it is not there. */
+    public long requiredSpan(String key, long least, long most) {
         return required(key, "a time such as \"250ms\"", span(key, least, most), least);
     }
 
@@ -165,7 +187,7 @@
     }
 
     /** One of these words, which stand in the order of the values that they name. */
-    <T> T word(String key, T absent, List<String> words, List<T> values) {
+    public <T> T word(String key, T absent, List<String> words, List<T> values) {
         return value(key, "one of " + String.join(", ", words), absent, value -> {
             int at = value instanceof String text ? words.indexOf(text) : -1;
             return at < 0 ? null : values.get(at);
@@ -173,7 +195,7 @@
     }
 
     /** Texts of an array, none where it is not there. */
-    List<String> texts(String key, int most) {
+    public List<String> texts(String key, int most) {
         return value(key, "an array of at most " + most + " texts", List.of(), value -> {
             if (!(value instanceof TomlArray array) || array.size() > most
                     || array.toList().stream().anyMatch(item -> !(item instanceof String))) {
@@ -184,7 +206,7 @@
     }
 
     /** A table below this one, empty where it is not there. */
-    Section section(String key) {
+    public Section section(String key) {
         TomlTable below = value(key, "a table", null, value -> value instanceof TomlTable found ? found : null);
         return new Section(file, name.isEmpty() ? key : name + "." + key,
                 below == null ? Toml.parse("") : below,
@@ -192,7 +214,7 @@
     }
 
     /** The tables of an array, {@code [[key]]}, in their order; none where it is not there. */
-    List<Section> sections(String key, int most) {
+    public List<Section> sections(String key, int most) {
         List<Section> sections = new ArrayList<>();
         TomlArray array = value(key, "at most " + most + " tables", null, value -> value instanceof TomlArray found
                 && found.size() <= most && found.toList().stream().allMatch(TomlTable.class::isInstance) ? found : null);
@@ -203,7 +225,7 @@
     }
 
     /** The tables below a key by their names, {@code [key.name]}. */
-    Map<String, Section> named(String key, int most) {
+    public Map<String, Section> named(String key, int most) {
         Section below = section(key);
         if (below.table.size() > most) {
             problem(key, "expected at most " + most + " tables, found " + below.table.size());
@@ -217,7 +239,7 @@
     }
 
     /** Whatever was not asked for is a problem; call it last. */
-    void noMore() {
+    public void noMore() {
         for (String key : table.keySet()) {
             if (!known.contains(key)) {
                 String nearest = nearest(key, known);
@@ -228,7 +250,7 @@
     }
 
     /** The word at the least edit distance, or that begins with this one; null where none is near. */
-    static String nearest(String word, Collection<String> words) {
+    public static String nearest(String word, Collection<String> words) {
         String best = null;
         int least = Math.max(2, word.length() / 3) + 1;
         for (String each : words) {
@@ -260,14 +282,14 @@
     }
 
     /** Whether a value was met before; says so at the key where it was. */
-    void once(String key, String value, Set<String> met) {
+    public void once(String key, String value, Set<String> met) {
         if (!met.add(value)) {
             problem(key, "expected each once, found " + found(value) + " again");
         }
     }
 
     /** A fresh set for {@link #once}. */
-    static Set<String> met() {
+    public static Set<String> met() {
         return new HashSet<>();
     }
 }
--- /dev/null
+++ b/src/main/java/mastdrift/config/Tables.java
@@ -0,0 +1,116 @@
+package mastdrift.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import mastdrift.Balancer.Group;
+import mastdrift.Balancer.Repeat;
+import mastdrift.Balancer.RequestClass;
+import mastdrift.Balancer.Rules;
+import mastdrift.Balancer.Tenant;
+import mastdrift.routing.Route;
+
+/** Tables that files of several kinds have alike: a gateway's file and an experiment's. */
+public final class Tables {
+
+    private static final long MILLI = 1000;
+    private static final long SECOND = 1000 * MILLI;
+    private static final long MINUTE = 60 * SECOND;
+    private static final Pattern WORD = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+
+    private Tables() { }
+
+    /** The classes of requests, {@code [[class]]}; a problem where there are none. */
+    public static List<RequestClass> classes(Section root) {
+        List<RequestClass> classes = new ArrayList<>();
+        Set<String> met = Section.met();
+        for (Section section : root.sections("class", 64)) {
+            String name = word(section, "name", section.requiredText("name"));
+            section.once("name", name, met);
+            Repeat repeat = section.word("effect", null, List.of("safe", "keyed", "unsafe"), List.of(Repeat.values()));
+            if (repeat == null && !section.has("effect")) {
+                section.problem("effect", "expected safe, keyed or unsafe, found nothing");
+            }
+            boolean keyed = repeat == Repeat.KEYED;
+            if (!keyed && (section.has("group") || section.has("dedup_window"))) {
+                section.problem("group and dedup_window are for keyed classes alone");
+            }
+            Group group = section.word("group", keyed ? Group.ZONE : Group.ALL, List.of("all", "zone", "cell"),
+                    List.of(Group.values()));
+            long window = keyed ? section.requiredSpan("dedup_window", MILLI, 60 * MINUTE) : 0;
+            long aim = section.requiredSpan("aim", MILLI, 10 * MINUTE);
+            long deadline = section.requiredSpan("deadline", MILLI, 10 * MINUTE);
+            if (aim > deadline) {
+                section.problem("aim", "expected no more than the deadline");
+            }
+            classes.add(new RequestClass(name, aim, 0, deadline, section.real("worth", 1, 0.001, 1e6),
+                    section.real("late_worth", 0.5, 0, 1), repeat == null ? Repeat.UNSAFE : repeat, group, window, false));
+            section.noMore();
+        }
+        if (classes.isEmpty()) {
+            root.problem("class", "expected at least one class, [[class]], found none");
+        }
+        return classes;
+    }
+
+    /** The tenants, {@code [[tenant]]}. */
+    public static List<Tenant> tenants(Section root) {
+        List<Tenant> tenants = new ArrayList<>();
+        Set<String> met = Section.met();
+        for (Section section : root.sections("tenant", 1000)) {
+            String name = word(section, "name", section.requiredText("name"));
+            section.once("name", name, met);
+            tenants.add(new Tenant(name, section.real("share", 1, 0, 1),
+                    section.requiredReal("requests_per_second", 0.001, 1e7)));
+            section.noMore();
+        }
+        return tenants;
+    }
+
+    /** The figures of the four rules that a pool may set. */
+    public static Rules rules(Section section) {
+        return new Rules(50 * MILLI, section.span("drain_grace", 250 * MILLI, 60 * MILLI, MINUTE), 0,
+                section.real("cold_from", 0.13, 0.001, 1), section.span("warm_within", 24 * SECOND, MILLI, 60 * MINUTE),
+                section.real("fall_multiple", 3, 0.1, 1000), section.span("fall_span", 2 * SECOND, MILLI, 10 * MINUTE));
+    }
+
+    /** Pools and their weights, {@code pools = { a = 1 }}. */
+    public static List<Route.Target> targets(Section route, Set<String> pools) {
+        Section weights = route.section("pools");
+        Map<String, Route.Target> targets = new LinkedHashMap<>();
+        for (String pool : pools) {
+            if (weights.has(pool)) {
+                targets.put(pool, new Route.Target(pool, weights.real(pool, 0, 0, 1e6)));
+            }
+        }
+        weights.noMore();
+        return List.copyOf(targets.values());
+    }
+
+    /** A name: a problem where it is not one word. */
+    public static String word(Section section, String key, String word) {
+        if (!word.equals("?") && !WORD.matcher(word).matches()) {
+            section.problem(key, "expected up to 64 letters, digits, dots, - and _, found \"" + word + "\"");
+        }
+        return word;
+    }
+
+    /** The text of a key that has to be one of these names; null where it is not there. */
+    public static String among(Section section, String key, List<String> names) {
+        String name = section.text(key);
+        if (name != null && !names.contains(name)) {
+            section.problem(key, expectedOne("those defined", names, name));
+        }
+        return name;
+    }
+
+    static String expectedOne(String what, List<String> names, String found) {
+        String nearest = Section.nearest(found, names);
+        String listed = names.size() <= 8 ? " (" + String.join(", ", names) + ")" : "";
+        return "expected one of " + what + listed + ", found \"" + found + "\""
+                + (nearest == null ? "" : "; did you mean " + nearest + "?");
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/lab/ExperimentReader.java
@@ -0,0 +1,440 @@
+package mastdrift.lab;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.stream.LongStream;
+import mastdrift.Balancer.RequestClass;
+import mastdrift.Balancer.Rules;
+import mastdrift.Balancer.Tenant;
+import mastdrift.config.Problem;
+import mastdrift.config.Problems;
+import mastdrift.config.Section;
+import mastdrift.config.Tables;
+import mastdrift.lab.Experiment.Arm;
+import mastdrift.lab.Experiment.Limit;
+import mastdrift.lab.Experiment.Quantity;
+import mastdrift.lab.draw.Arrivals;
+import mastdrift.lab.draw.Curve;
+import mastdrift.lab.draw.Mix;
+import mastdrift.lab.draw.Tries;
+import mastdrift.lab.draw.Work;
+import mastdrift.lab.model.Policy;
+import mastdrift.lab.model.Scenario;
+import mastdrift.lab.model.Scenario.Fault;
+import mastdrift.lab.model.Scenario.Population;
+import mastdrift.lab.model.Scenario.What;
+import mastdrift.routing.Match;
+import mastdrift.routing.Route;
+
+/** Reads an experiment's file. All that is wrong with it is said at once, each with its place. */
+public final class ExperimentReader {
+
+    private static final long MILLI = 1000;
+    private static final long SECOND = 1000 * MILLI;
+    private static final long MINUTE = 60 * SECOND;
+    private static final int FILE_MOST = 1 << 20;
+    /** Bounds of an experiment: nodes, gateways, seeds. */
+    public static final int NODES_MOST = 20_000;
+    /** Likewise. */
+    public static final int GATEWAYS_MOST = 2_000;
+    private static final int SEEDS_MOST = 1_000;
+    private static final int LOOPBACK_NODES_MOST = 64;
+    private static final int LOOPBACK_GATEWAYS_MOST = 8;
+    private static final Set<What> LOOPBACK_FAULTS = Set.of(What.SLOW, What.CRASH, What.DRAIN, What.SHED, What.FREEZE);
+
+    private final Path folder;
+    private final Problems problems = new Problems();
+
+    private ExperimentReader(Path folder) {
+        this.folder = folder;
+    }
+
+    /** An experiment, or null and what is wrong. */
+    public record Result(Experiment experiment, List<String> problems) { }
+
+    /** Reads a file. */
+    public static Result read(Path file) {
+        String name = Objects.toString(file.getFileName());
+        try {
+            if (!Files.isRegularFile(file) || Files.size(file) > FILE_MOST) {
+                return new Result(null, List.of(name + ": expected a file of at most 1 MiB, found "
+                        + (Files.isRegularFile(file) ? "a larger one" : "none")));
+            }
+            return read(name, Files.readString(file, StandardCharsets.UTF_8), file.toAbsolutePath().getParent());
+        } catch (IOException e) {
+            return new Result(null, List.of(name + ": expected a text in UTF-8 that can be read, found " + e));
+        }
+    }
+
+    /** Reads a text; jars of other builds are looked for from the folder. */
+    static Result read(String name, String text, Path folder) {
+        ExperimentReader reader = new ExperimentReader(folder);
+        Section root = Section.root(name, text, reader.problems);
+        Experiment experiment = null;
+        if (root != null) {
+            try {
+                experiment = reader.experiment(root);
+            } catch (IllegalArgumentException e) {
+                root.problem(e.getMessage());
+            }
+        }
+        return new Result(reader.problems.none() ? experiment : null, reader.problems.lines());
+    }
+
+    private Experiment experiment(Section root) {
+        Section head = root.section("experiment");
+        String name = Tables.word(head, "name", head.requiredText("name"));
+        boolean byModel = head.word("by", Boolean.TRUE, List.of("model", "loopback"), List.of(true, false));
+        long length = head.requiredSpan("length", SECOND, 60 * MINUTE);
+        long warm = head.span("warm", 0, 0, 60 * MINUTE);
+        if (warm >= length) {
+            head.problem("warm", "expected less than the length");
+        }
+        long first = head.whole("first_seed", 1, 0, Long.MAX_VALUE / 2);
+        List<Long> seeds = LongStream.range(first, first + head.whole("seeds", 1, 1, SEEDS_MOST)).boxed().toList();
+        head.noMore();
+        Scenario.Site site = site(root.section("site"));
+        List<RequestClass> classes = Tables.classes(root);
+        List<String> classNames = classes.stream().map(RequestClass::name).toList();
+        List<Tenant> tenants = Tables.tenants(root);
+        List<Scenario.Kind> kinds = kinds(root, byModel);
+        List<Scenario.Group> groups = groups(root, kinds);
+        List<String> pools = groups.stream().map(Scenario.Group::pool).distinct().toList();
+        Map<String, Work> works = works(root, classNames);
+        List<Route> routes = routes(root, classNames, pools);
+        List<Population> populations = populations(root, classes, tenants, site.zones(), length, byModel);
+        List<Fault> faults = faults(root, site, kinds, pools, groups, length, byModel);
+        Scenario scenario = new Scenario(site, kinds, groups, classes, works, tenants, routes, populations, faults, length, warm);
+        int nodes = groups.stream().mapToInt(Scenario.Group::count).sum();
+        if (nodes > (byModel ? NODES_MOST : LOOPBACK_NODES_MOST)) {
+            root.problem("nodes", "expected at most " + (byModel ? NODES_MOST : LOOPBACK_NODES_MOST + " over loopback") + " nodes, found "
+                    + nodes);
+        }
+        if (!byModel && site.gateways() > LOOPBACK_GATEWAYS_MOST) {
+            root.problem("site", "expected at most " + LOOPBACK_GATEWAYS_MOST + " gateways over loopback, found " + site.gateways());
+        }
+        List<Arm> arms = arms(root, scenario, byModel);
+        List<Limit> limits = limits(root, arms.stream().map(Arm::name).toList());
+        root.noMore();
+        return new Experiment(name, byModel, seeds, arms, limits);
+    }
+
+    private Scenario.Site site(Section section) {
+        List<String> zones = section.texts("zones", 16);
+        if (zones.isEmpty()) {
+            section.problem("zones", "expected the names of all data centres, found none");
+        }
+        Rules rules = Tables.rules(section);
+        Scenario.Site site = new Scenario.Site(zones, (int) section.whole("gateways", 1, 1, GATEWAYS_MOST),
+                section.span("within", 250, 1, SECOND), section.span("across", 4 * MILLI, 1, SECOND),
+                section.real("jitter", 0.2, 0, 1), section.real("loss", 0, 0, 1), section.real("resets", 0, 0, 1),
+                section.span("list_delay", SECOND, 0, MINUTE), section.span("list_spread", SECOND, 0, MINUTE),
+                section.real("list_missed", 0, 0, 1), section.real("list_doubled", 0, 0, 1),
+                section.span("list_every", 0, 0, 10 * MINUTE), section.flag("membership", false),
+                section.span("gateway_cost", 0, 0, SECOND), section.span("front_notice", 2 * SECOND, 0, MINUTE),
+                (int) section.whole("max_attempts", 4, 1, 16), section.span("retry_after", 2 * SECOND, 0, MINUTE),
+                section.flag("marks_retry", false), section.flag("probes", true), rules);
+        section.noMore();
+        return site;
+    }
+
+    private static List<Scenario.Kind> kinds(Section root, boolean byModel) {
+        List<Scenario.Kind> kinds = new ArrayList<>();
+        Set<String> met = Section.met();
+        for (Section section : root.sections("kind", 64)) {
+            String name = Tables.word(section, "name", section.requiredText("name"));
+            section.once("name", name, met);
+            int cores = (int) section.whole("cores", 2, 1, 1024);
+            int slots = (int) section.whole("slots", cores, 1, 1 << 16);
+            double gain = section.real("gain", 0, 0, 1);
+            if (!byModel && (slots != cores || gain > 0)) {
+                section.problem("slots", "expected as many slots as cores and no gain over loopback, found " + slots + " slots, "
+                        + cores + " cores and a gain of " + Section.shown(gain));
+            }
+            kinds.add(new Scenario.Kind(name, cores, section.real("speed", 1, 0.001, 1000), slots,
+                    (int) section.whole("queue", 64, 0, 1 << 20), gain, section.span("key_for", 5 * SECOND, 0, 10 * MINUTE),
+                    (int) section.whole("keys_most", 200, 1, 1 << 20)));
+            section.noMore();
+        }
+        if (kinds.isEmpty()) {
+            root.problem("kind", "expected at least one machine kind, [[kind]], found none");
+        }
+        return kinds;
+    }
+
+    private static List<Scenario.Group> groups(Section root, List<Scenario.Kind> kinds) {
+        List<Scenario.Group> groups = new ArrayList<>();
+        List<String> names = kinds.stream().map(Scenario.Kind::name).toList();
+        for (Section section : root.sections("nodes", 256)) {
+            String kind = Tables.among(section, "kind", names);
+            if (kind == null) {
+                section.problem("kind", "expected the name of a kind, found nothing");
+            }
+            groups.add(new Scenario.Group(Tables.word(section, "pool", section.text("pool", "main")), kind,
+                    (int) section.whole("count", 1, 1, NODES_MOST), (int) section.whole("cell", 0, 0, NODES_MOST)));
+            section.noMore();
+        }
+        if (groups.isEmpty()) {
+            root.problem("nodes", "expected at least one group of nodes, [[nodes]], found none");
+        }
+        return groups;
+    }
+
+    private static Map<String, Work> works(Section root, List<String> classes) {
+        Map<String, Work> works = new HashMap<>();
+        Set<String> met = Section.met();
+        for (Section section : root.sections("work", 64)) {
+            String name = Tables.among(section, "class", classes);
+            section.once("class", String.valueOf(name), met);
+            List<Work.Shape> shapes = List.of(Work.Shape.values());
+            Work.Shape shape = section.word("shape", Work.Shape.EXPONENTIAL, words(shapes), shapes);
+            double mean = section.requiredSpan("mean", 1, 10 * MINUTE);
+            double cv = section.real("cv", 1, 0, 100);
+            try {
+                works.put(name, new Work(mean, shape, cv));
+            } catch (IllegalArgumentException e) {
+                section.problem("cv", e.getMessage());
+            }
+            section.noMore();
+        }
+        classes.stream().filter(name -> !met.contains(name)).forEach(name ->
+                root.problem("work", "expected how long class " + name + " takes, [[work]], found nothing"));
+        return works;
+    }
+
+    private static <E extends Enum<E>> List<String> words(List<E> values) {
+        return values.stream().map(value -> value.name().toLowerCase(Locale.ROOT)).toList();
+    }
+
+    private static List<Route> routes(Section root, List<String> classes, List<String> pools) {
+        List<Route> routes = new ArrayList<>();
+        for (Section section : root.sections("route", 64)) {
+            String type = Tables.among(section, "class", classes);
+            String fallback = Tables.among(section, "fallback", pools);
+            List<Route.Target> targets = Tables.targets(section, new LinkedHashSet<>(pools));
+            if (targets.stream().noneMatch(target -> target.weight() > 0)) {
+                section.problem("pools", "expected a pool with a weight above 0, found none");
+            } else {
+                routes.add(new Route("route-" + (routes.size() + 1), new Match(type, null, null, null, null, null), targets, fallback));
+            }
+            section.noMore();
+        }
+        if (routes.isEmpty() && pools.size() > 1) {
+            root.problem("route", "expected at least one route, [[route]], where there are " + pools.size() + " pools, found none");
+        }
+        return routes;
+    }
+
+    private static List<Population> populations(Section root, List<RequestClass> classes, List<Tenant> tenants, List<String> zones,
+            long length, boolean byModel) {
+        List<Population> populations = new ArrayList<>();
+        Set<String> met = Section.met();
+        for (Section section : root.sections("population", 64)) {
+            String name = Tables.word(section, "name", section.requiredText("name"));
+            section.once("name", name, met);
+            String tenant = Tables.among(section, "tenant", tenants.stream().map(Tenant::name).toList());
+            long tryFor = section.span("try_for", 0, MILLI, 10 * MINUTE);
+            Section weights = section.section("classes");
+            List<Mix.Part> parts = new ArrayList<>();
+            for (RequestClass type : classes) {
+                double weight = weights.has(type.name()) ? weights.real(type.name(), 0, 0, 1e6) : 0;
+                if (weight > 0) {
+                    parts.add(new Mix.Part(type.name(), tenant, type.repeat(), weight, tryFor > 0 ? tryFor : type.deadline(), 0));
+                }
+            }
+            weights.noMore();
+            if (parts.isEmpty()) {
+                section.problem("classes", "expected a class with a weight above 0, found none");
+            }
+            List<Arrivals.Kind> kinds = List.of(Arrivals.Kind.values());
+            Arrivals.Kind arrivals = section.word("arrivals", Arrivals.Kind.POISSON, words(kinds), kinds);
+            Mix.Keys keys = new Mix.Keys((int) section.whole("keys", 1000, 1, 1 << 30), section.real("zipf", 0.9, 0, 5));
+            Tries tries = new Tries((int) section.whole("tries", 1, 1, 20), section.span("pause", 100 * MILLI, 0, MINUTE),
+                    section.real("growth", 1, 1, 10), section.real("jitter", 0.5, 0, 1), section.real("follows", 0, 0, 1));
+            if (!byModel && tries.most() > 1) {
+                section.problem("tries", "expected 1 over loopback, found " + tries.most());
+            }
+            Curve curve = null;
+            try {
+                curve = Curve.parse(section.requiredText("rate"), length / 1e6);
+            } catch (IllegalArgumentException e) {
+                section.problem("rate", e.getMessage());
+            }
+            populations.add(new Population(name, Tables.among(section, "zone", zones), curve, arrivals, parts, keys, tries));
+            section.noMore();
+        }
+        if (populations.isEmpty()) {
+            root.problem("population", "expected at least one population of clients, [[population]], found none");
+        }
+        return populations;
+    }
+
+    private static List<Fault> faults(Section root, Scenario.Site site, List<Scenario.Kind> kinds, List<String> pools,
+            List<Scenario.Group> groups, long length, boolean byModel) {
+        List<Fault> faults = new ArrayList<>();
+        List<What> whats = List.of(What.values());
+        int nodes = groups.stream().mapToInt(Scenario.Group::count).sum();
+        for (Section section : root.sections("fault", 256)) {
+            What what = section.word("what", null, words(whats), whats);
+            if (what == null && !section.has("what")) {
+                section.problem("what", "expected one of " + String.join(", ", words(whats)) + ", found nothing");
+            }
+            if (what != null && !byModel && !LOOPBACK_FAULTS.contains(what)) {
+                section.problem("what", "expected one of " + String.join(", ", words(LOOPBACK_FAULTS.stream().sorted().toList()))
+                        + " over loopback, found " + words(List.of(what)).get(0));
+            }
+            long at = section.requiredSpan("at", 0, 60 * MINUTE);
+            long lasts = section.requiredSpan("for", MILLI, 60 * MINUTE);
+            if (at + lasts > length) {
+                section.problem("at", "expected its end within the length of " + length / SECOND + " s, found " + (at + lasts) / 1e6 + " s");
+            }
+            String node = section.text("node");
+            if (node != null && !known(node, what, nodes, site.gateways())) {
+                section.problem("node", "expected a node from n-0 to n-" + (nodes - 1) + (what == What.GATEWAYS
+                        ? " or a gateway from gateway-0 to gateway-" + (site.gateways() - 1) : "") + ", found \"" + node + "\"");
+            }
+            double size = section.real("size", what == What.DEPLOY ? 0.1 : what == What.ERRORS ? 1 : 2, 0.0001, 1000);
+            if ((what == What.DEPLOY || what == What.ERRORS) && size > 1) {
+                section.problem("size", "expected a part, up to 1, found " + Section.shown(size));
+            }
+            String zone = Tables.among(section, "zone", site.zones());
+            if (what == What.CUT && zone == null) {
+                section.problem("zone", "expected the zone that is cut off, found nothing");
+            }
+            faults.add(new Fault(what, at, lasts, size, new Scenario.Where(zone, Tables.among(section, "kind",
+                    kinds.stream().map(Scenario.Kind::name).toList()), Tables.among(section, "pool", pools), node,
+                    section.real("part", 1, 0.0001, 1))));
+            section.noMore();
+        }
+        return faults;
+    }
+
+    private static boolean known(String node, What what, int nodes, int gateways) {
+        boolean gateway = what == What.GATEWAYS;
+        String head = gateway ? "gateway-" : "n-";
+        String number = node.startsWith(head) ? node.substring(head.length()) : "";
+        return number.matches("\\d{1,6}") && Integer.parseInt(number) < (gateway ? gateways : nodes);
+    }
+
+    // ---- arms and limits
+
+    private List<Arm> arms(Section root, Scenario scenario, boolean byModel) {
+        List<Arm> arms = new ArrayList<>();
+        Set<String> met = Section.met();
+        List<List<Object>> differences = new ArrayList<>();
+        for (Section section : root.sections("arm", 32)) {
+            String name = Tables.word(section, "name", section.requiredText("name"));
+            section.once("name", name, met);
+            String policy = section.text("policy", "module");
+            Policy.Breaks breaks = section.word("breaks", Policy.Breaks.NOTHING, List.of("group", "drain", "twice"),
+                    List.of(Policy.Breaks.GROUP, Policy.Breaks.DRAIN, Policy.Breaks.TWICE));
+            Scenario own = changed(section, scenario);
+            if (!byModel && (!policy.equals("module") || breaks != Policy.Breaks.NOTHING)) {
+                section.problem("policy", "expected module and nothing that breaks over loopback, found " + policy);
+            }
+            List<Object> difference = Arrays.asList(policy, breaks, own.site(), rates(own));
+            int same = differences.indexOf(difference);
+            if (same >= 0) {
+                section.problem("expected something that differs from arm " + arms.get(same).name() + ", found nothing");
+            }
+            differences.add(difference);
+            arms.add(new Arm(name, policy(section, policy).breaking(breaks), own));
+            section.noMore();
+        }
+        return arms.isEmpty() ? List.of(new Arm("module", Policy.module(), scenario)) : arms;
+    }
+
+    private static List<Object> rates(Scenario scenario) {
+        List<Object> rates = new ArrayList<>();
+        scenario.populations().forEach(population -> {
+            rates.add(population.curve() == null ? 0 : population.curve().total());
+            rates.add(population.tries());
+        });
+        return rates;
+    }
+
+    private Policy policy(Section section, String policy) {
+        switch (policy) {
+            case "module" -> {
+                return Policy.module();
+            }
+            case "random" -> {
+                return Policy.random();
+            }
+            case "two" -> {
+                return Policy.twoChoices();
+            }
+            default -> {
+                if (!policy.endsWith(".jar")) {
+                    section.problem("policy", "expected module, random, two or the path of another build's jar, found \"" + policy + "\"");
+                    return Policy.module();
+                }
+                try {
+                    return Builds.of(folder.resolve(policy));
+                } catch (IllegalArgumentException e) {
+                    section.problem("policy", e.getMessage());
+                    return Policy.module();
+                }
+            }
+        }
+    }
+
+    /** What an arm may set otherwise than the file's site and populations. */
+    private static Scenario changed(Section section, Scenario scenario) {
+        Scenario.Site site = scenario.site();
+        double factor = section.real("rate_times", 1, 0.0001, 10_000);
+        Scenario.Site own = new Scenario.Site(site.zones(), (int) section.whole("gateways", site.gateways(), 1, GATEWAYS_MOST),
+                site.within(), site.across(), site.jitter(), site.loss(), site.resets(),
+                section.span("list_delay", site.listDelay(), 0, MINUTE), site.listSpread(),
+                section.real("list_missed", site.listMissed(), 0, 1), site.listDoubled(), site.listEvery(),
+                section.flag("membership", site.membership()), section.span("gateway_cost", site.gatewayCost(), 0, SECOND),
+                site.frontNotice(), (int) section.whole("max_attempts", site.maxAttempts(), 1, 16),
+                section.span("retry_after", site.retryAfter(), 0, MINUTE), section.flag("marks_retry", site.marksRetry()),
+                section.flag("probes", site.probes()), site.rules());
+        Double follows = section.real("follows", 0, 1);
+        List<Population> populations = scenario.populations().stream().map(population -> new Population(population.name(),
+                population.zone(), population.curve() == null ? null : population.curve().times(factor), population.arrivals(),
+                population.parts(), population.keys(), follows == null ? population.tries() : new Tries(population.tries().most(),
+                        population.tries().pause(), population.tries().growth(), population.tries().jitter(), follows))).toList();
+        return new Scenario(own, scenario.kinds(), scenario.groups(), scenario.classes(), scenario.works(), scenario.tenants(),
+                scenario.routes(), populations, scenario.faults(), scenario.length(), scenario.warm());
+    }
+
+    private static List<Limit> limits(Section root, List<String> arms) {
+        List<Limit> limits = new ArrayList<>();
+        List<Quantity> quantities = List.of(Quantity.values());
+        for (Section section : root.sections("limit", 256)) {
+            Quantity what = section.word("what", null, quantities.stream().map(Quantity::word).toList(), quantities);
+            if (what == null && !section.has("what")) {
+                section.problem("what", "expected what is limited, found nothing");
+            }
+            boolean time = what != null && what.time();
+            Double least = bound(section, "least", time);
+            Double most = bound(section, "most", time);
+            if (least == null && most == null && !section.has("least") && !section.has("most")) {
+                section.problem("expected least or most, found neither");
+            }
+            limits.add(new Limit(Tables.among(section, "arm", arms), what, least, most, section.place()));
+            section.noMore();
+        }
+        return limits;
+    }
+
+    private static Double bound(Section section, String key, boolean time) {
+        if (!section.has(key)) {
+            return null;
+        }
+        return time ? Double.valueOf(section.requiredSpan(key, 0, 60 * MINUTE)) : section.real(key, 0, 1e12);
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/lab/model/ModelAnswer.java
@@ -0,0 +1,6 @@
+package mastdrift.lab.model;
+
+import mastdrift.engine.Answer;
+
+/** The answer of a node. */
+record ModelAnswer(ModelNode node) implements Answer { }
--- /dev/null
+++ b/src/main/java/mastdrift/lab/model/ModelGateway.java
@@ -0,0 +1,217 @@
+package mastdrift.lab.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import mastdrift.Balancer.Health;
+import mastdrift.Balancer.Host;
+import mastdrift.Balancer.ListForm;
+import mastdrift.Balancer.Repeat;
+import mastdrift.Balancer.Settings;
+import mastdrift.engine.Ask;
+import mastdrift.engine.Exchange;
+import mastdrift.engine.Ledger;
+import mastdrift.engine.Member;
+import mastdrift.engine.Pool;
+import mastdrift.engine.Source;
+import mastdrift.engine.Timers;
+import mastdrift.lab.draw.Streams;
+import mastdrift.membership.Membership;
+import mastdrift.membership.Node;
+import mastdrift.membership.PoolList;
+import mastdrift.routing.RouteTable;
+import mastdrift.routing.Router;
+import mastdrift.routing.Traits;
+
+/** A gateway: the ledger, the router, the pools with their modules and, where the site says so, the membership, as they are in
+    service. It may be killed and start again knowing nothing. */
+final class ModelGateway {
+
+    private static final int OPEN_MOST = 20_000;
+
+    /** What a gateway is made of by the world that it is in. */
+    interface Parts {
+        /** Settings of a pool's module. */
+        Settings settings(ModelGateway gateway, String pool, long seed);
+
+        /** A module. */
+        mastdrift.Balancer module();
+
+        /** Connections. */
+        ModelTransport transport(ModelGateway gateway, Timers timers, Settings settings, Streams streams);
+    }
+
+    /** One life of it. */
+    private final class Life {
+        private final Ledger ledger;
+        private final Router router = new Router(Router.PINS_MOST);
+        private final Map<String, Pool> pools = new LinkedHashMap<>();
+        private final Membership membership;
+        private final Map<String, Boolean> somebody = new HashMap<>();
+        private boolean over;
+        private long busyUntil;
+
+        Life(int number) {
+            Timers timers = (micros, what) -> time.after(micros, () -> {
+                if (!over) {
+                    what.run();
+                }
+            });
+            ledger = new Ledger(timers, time, OPEN_MOST, line -> { });
+            router.swap(new RouteTable(scenario.routes()));
+            membership = scenario.site().membership() ? new Membership() : null;
+            Map<String, Membership.Filed> filed = new HashMap<>();
+            for (String name : poolNames) {
+                Streams own = streams.below("life-" + number).below(name);
+                Settings settings = parts.settings(ModelGateway.this, name, own.number("module"));
+                Pool pool = new Pool(name, ledger, parts.module(), settings,
+                        parts.transport(ModelGateway.this, timers, settings, own));
+                pools.put(name, pool);
+                filed.put(name, new Membership.Filed(List.of(), settings.rules().fallSpan(), settings.rules().warmWithin()));
+                pool.start(Source.TELLS, List.of());
+            }
+            if (membership != null) {
+                membership.files(time.now(), filed);
+            }
+        }
+
+        private void told(ListForm form, List<Host> hosts) {
+            Map<String, List<Host>> byPool = new LinkedHashMap<>();
+            if (form != ListForm.DELTA) {
+                poolNames.forEach(name -> byPool.put(name, new ArrayList<>()));
+            }
+            hosts.forEach(host -> byPool.computeIfAbsent(poolOf.get(host.address()), name -> new ArrayList<>()).add(host));
+            byPool.forEach((name, own) -> {
+                if (membership == null) {
+                    pools.get(name).learn(form, members(own));
+                    somebody.put(name, true);
+                    return;
+                }
+                List<Node> nodes = own.stream().map(host -> new Node(host.address(), host.address(), host.zone(), host.cell(),
+                        host.kind(), host.weight(), host.health(), host.born(), "")).toList();
+                put(membership.told(time.now(), name, "discovery", form != ListForm.DELTA, nodes));
+            });
+        }
+
+        private void put(Map<String, PoolList> changed) {
+            changed.forEach((name, list) -> {
+                pools.get(name).learn(ListForm.FULL, members(list.hosts().stream().map(listed -> listed.host()).toList()));
+                somebody.put(name, list.somebody());
+            });
+            long due = membership.dueAt();
+            if (due != Long.MAX_VALUE) {
+                time.after(Math.max(1, due - time.now()), () -> {
+                    if (!over && membership.dueAt() <= time.now()) {
+                        put(membership.due(time.now()));
+                    }
+                });
+            }
+        }
+
+        private Exchange take(Try given) {
+            Ask ask = given.ask();
+            Traits traits = new Traits(ask.className(), ask.tenant(), "/api", zone, ask.key(), name -> List.of());
+            String name = poolNames.size() == 1 && scenario.routes().isEmpty() ? poolNames.get(0)
+                    : given.type().repeat() == Repeat.KEYED
+                    ? router.keyed(time.now(), traits, time.now() + given.type().deadline() + given.type().dedupWindow(),
+                            this::somebody)
+                    : router.pool(traits, this::somebody);
+            Pool pool = name == null ? null : pools.get(name);
+            if (pool == null) {
+                given.failed(false);
+                return null;
+            }
+            return ledger.take(pool, given, given, ask);
+        }
+
+        private boolean somebody(String pool) {
+            return somebody.getOrDefault(pool, false);
+        }
+    }
+
+    private final VirtualTime time;
+    private final Scenario scenario;
+    private final Parts parts;
+    private final Streams streams;
+    private final int number;
+    private final String zone;
+    private final List<String> poolNames;
+    private final Map<String, String> poolOf;
+    private final Map<String, Integer> indices;
+    private Life life;
+    private int lives;
+
+    ModelGateway(VirtualTime time, Scenario scenario, Parts parts, Streams streams, int number, List<String> poolNames,
+            Map<String, String> poolOf, Map<String, Integer> indices) {
+        this.time = time;
+        this.scenario = scenario;
+        this.parts = parts;
+        this.streams = streams;
+        this.number = number;
+        this.poolNames = poolNames;
+        this.poolOf = poolOf;
+        this.indices = indices;
+        zone = scenario.site().zones().get(number % scenario.site().zones().size());
+    }
+
+    int number() {
+        return number;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    int index(String uid) {
+        return indices.get(uid);
+    }
+
+    boolean up() {
+        return life != null;
+    }
+
+    /** Starts, knowing nothing. */
+    void start() {
+        life = new Life(lives++);
+    }
+
+    /** Dies: what it holds is lost, and its connections break. */
+    void kill() {
+        if (life != null) {
+            life.over = true;
+            life = null;
+        }
+    }
+
+    /** How many lives it has begun. */
+    int lives() {
+        return lives;
+    }
+
+    void told(ListForm form, List<Host> hosts) {
+        life.told(form, hosts);
+    }
+
+    private static List<Member> members(List<Host> hosts) {
+        return hosts.stream().map(host -> new Member(host, null)).toList();
+    }
+
+    /** A request is here whole. What its one core has no time for yet waits. */
+    void take(Try given) {
+        Life now = life;
+        long cost = scenario.site().gatewayCost();
+        if (cost == 0) {
+            given.taken(now.take(given));
+            return;
+        }
+        now.busyUntil = Math.max(now.busyUntil, time.now()) + cost;
+        time.after(now.busyUntil - time.now(), () -> {
+            if (!now.over && !given.over()) {
+                given.taken(now.take(given));
+            }
+        });
+    }
+
+}
--- a/src/main/java/mastdrift/standin/StandInHost.java
+++ b/src/main/java/mastdrift/standin/StandInHost.java
@@ -24,14 +24,22 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 
 /** A host by script, on a loopback port: so many requests at once take so long each, others wait in a bounded queue. It
     answers with its name and the request's id. Everything happens on the loop it is given. */
 public final class StandInHost implements AutoCloseable {
 
     private static final int QUEUE_MOST = 256;
+    // An event loop's own timers come up to a millisecond late, which is much of a short request's work.
+    private static final ScheduledThreadPoolExecutor TIMER = new ScheduledThreadPoolExecutor(1, task -> {
+        Thread thread = new Thread(task, "stand-in-work");
+        thread.setDaemon(true);
+        return thread;
+    });
 
     /** What it does with a request. */
     public enum Manner {
@@ -50,7 +58,7 @@
     /** A request that came: its id, its repeat key or null, when (System.nanoTime). */
     public record Seen(String host, String id, String key, long at) { }
 
-    private record Job(ChannelHandlerContext context, String id, String key, Manner manner) { }
+    private record Job(ChannelHandlerContext context, String id, String key, String className, Manner manner) { }
 
     private final String name;
     private final String group;
@@ -60,7 +68,9 @@
     private final Channel server;
     private final ChannelGroup connections;
     private final Queue<Job> queue = new ArrayDeque<>();
-    private volatile long work;
+    private volatile ToDoubleFunction<String> work;
+    private volatile double slower = 1;
+    private volatile int queueMost = QUEUE_MOST;
     private volatile Manner manner = Manner.SERVE;
     private volatile Consumer<Seen> observer = seen -> { };
     private volatile long served;
@@ -74,7 +84,7 @@
         this.group = group;
         this.effects = effects;
         this.loop = loop;
-        this.work = work;
+        work(work);
         this.slots = slots;
         connections = new DefaultChannelGroup(loop);
         server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -106,7 +116,22 @@
 
     /** From now on a request takes so many microseconds. */
     public void work(long micros) {
-        work = micros;
+        work = className -> micros;
+    }
+
+    /** From now on a request of a class takes so many microseconds; asked on the loop's thread, once a request. */
+    public void works(ToDoubleFunction<String> microsByClass) {
+        work = microsByClass;
+    }
+
+    /** From now on everything takes so many times as long. */
+    public void slower(double factor) {
+        slower = factor;
+    }
+
+    /** So many requests wait at most; further ones are turned away. */
+    public void queue(int most) {
+        queueMost = most;
     }
 
     /** Hears of every request that comes, on the loop's thread. */
@@ -146,14 +171,14 @@
             String key = message.headers().get("Idempotency-Key");
             lastAt = System.nanoTime();
             observer.accept(new Seen(name, id, key, lastAt));
-            if (manner == Manner.DRAIN || running >= slots && queue.size() >= QUEUE_MOST) {
+            if (manner == Manner.DRAIN || running >= slots && queue.size() >= queueMost) {
                 turnedAway++;
                 FullHttpResponse response = response(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
                 response.headers().set("X-Never-Ran", "1");
                 context.writeAndFlush(response);
                 return;
             }
-            queue.add(new Job(context, id, key, manner));
+            queue.add(new Job(context, id, key, message.headers().get("X-Qos", ""), manner));
             next();
         }
 
@@ -173,7 +198,8 @@
             if (job.key != null) {
                 effects.run(job.key, group);
             }
-            loop.schedule(() -> done(job), work, TimeUnit.MICROSECONDS);
+            long micros = (long) (work.applyAsDouble(job.className) * slower);
+            TIMER.schedule(() -> loop.execute(() -> done(job)), micros, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/test/java/mastdrift/ArchitectureTest.java
+++ b/src/test/java/mastdrift/ArchitectureTest.java
@@ -22,8 +22,8 @@
     /** From the ground up; those on one floor don't import each other. */
     private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings"),
             List.of("mastdrift.membership", "mastdrift.radius", "mastdrift.routing", "mastdrift.lab.draw"), List.of("mastdrift.config"), List.of("mastdrift.engine"),
-            List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire", "mastdrift.radius.edge"), List.of("mastdrift.serve", "mastdrift.standin", "mastdrift.lab.load"),
-            List.of("mastdrift.lab"), List.of("mastdrift.cli", "mastdrift.measure"));
+            List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire", "mastdrift.radius.edge", "mastdrift.lab.model"), List.of("mastdrift.serve", "mastdrift.standin", "mastdrift.lab.load"),
+            List.of("mastdrift.lab"), List.of("mastdrift.lab.report"), List.of("mastdrift.cli", "mastdrift.measure"));
 
     private static final JavaClasses CLASSES = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("mastdrift");
@@ -50,6 +50,15 @@
                 "java.io..", "java.nio.channels..", "java.nio.file..", "io.netty..", "java.util.concurrent..").check(CLASSES);
     }
 
+    /** The model's time is its own: it waits for nothing and asks nobody. */
+    @Test
+    void theModelHasNoTimeOrIoOfItsOwn() {
+        noClasses().that().resideInAPackage("mastdrift.lab.model").should().dependOnClassesThat().resideInAnyPackage("java.net..",
+                "java.io..", "java.nio.channels..", "java.nio.file..", "io.netty..", "java.util.concurrent..").check(CLASSES);
+        noClasses().that().resideInAPackage("mastdrift.lab.model").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
+    }
+
     @Test
     void theEngineKnowsNoProtocol() {
         noClasses().that().resideInAPackage("mastdrift.engine").should().dependOnClassesThat()
