Module: a list is sparse by what it says alone, not by hosts that are cold or failing

Change: whether a list is sparse is decided when it is told, by its hosts that are up and their weights. Many drained hosts around one that takes requests are still found out.

Also: modelled cold nodes that fall count against the fourth rule only where gateways had been told of their start; stand-in hosts know a request's class by its path, since headers are not passed on; over-loopback experiments work for it.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -434,7 +434,6 @@
             server.recent *= fade;
             recentSum += server.recent;
         }
-        setSparse(shareSum);
         long known = servers.values().stream().filter(s -> s.ownCount + s.ownFailures > 0).count();
         manyFull = servers.values().stream().filter(s -> full(now, s)).count() > MANY * known;
         setPressure(now);
@@ -936,15 +935,14 @@
             seat();  // costs as much as thousands of requests where lists are long
         }
         // Or until the next refresh weights would not count.
-        double[] shares = servers.values().stream().filter(s -> s.host.health() == Health.UP)
-                .mapToDouble(s -> s.share).toArray();
-        shareMost = Math.max(shareMost, Arrays.stream(shares).max().orElse(0));
-        setSparse(Arrays.stream(shares).sum());
-    }
-
-    /** Whether the draws for a request are too few to be sure of one that fits by its share alone. */
-    private void setSparse(double sum) {
-        sparse = DRAWS * sum < SURE * shareMost * servers.size();
+        shareMost = Math.max(shareMost, servers.values().stream()
+                .filter(s -> s.host.health() == Health.UP).mapToDouble(s -> s.share).max().orElse(0));
+        // Whether the draws for a request are too few to be sure of a host that the list gives weight. By
+        // the list alone: where hosts are cold or failing, draws that find nobody keep the rest upright.
+        double[] sizes = servers.values().stream().filter(s -> s.host.health() == Health.UP)
+                .mapToDouble(s -> size(s.host)).toArray();
+        double most = Arrays.stream(sizes).max().orElse(0);
+        sparse = DRAWS * Arrays.stream(sizes).sum() < SURE * most * servers.size();
     }
 
     private void admit(long now, Host host, Server known) {
--- a/src/main/java/mastdrift/lab/load/HttpDriver.java
+++ b/src/main/java/mastdrift/lab/load/HttpDriver.java
@@ -190,7 +190,7 @@
                     : channel.alloc().buffer(shot.part().body()).writeZero(shot.part().body());
             boolean safe = shot.part().repeat() == Repeat.SAFE;
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe && shot.part().body() == 0
-                    ? HttpMethod.GET : HttpMethod.POST, "/api", body);
+                    ? HttpMethod.GET : HttpMethod.POST, "/api/" + shot.part().className(), body);
             request.headers().set(HttpHeaderNames.HOST, "load").set("X-Trace-Id", shot.id()).set("X-Qos", shot.part().className())
                     .set("X-Object", "object-" + shot.key()).set("X-Expires-In-Ms", Math.max(1, left / 1000));
             if (shot.part().tenant() != null) {
--- a/src/main/java/mastdrift/lab/model/Measured.java
+++ b/src/main/java/mastdrift/lab/model/Measured.java
@@ -131,6 +131,7 @@
         }
         breaches.addAll(watch.breaches());
         counts.put("repeats_dropped", watch.dropped());
+        counts.put("cold_nodes_fallen_unheard", watch.fallenUnheard());
     }
 
     void worked(long[] ran, double[] busy) {
--- a/src/main/java/mastdrift/lab/model/ModelLists.java
+++ b/src/main/java/mastdrift/lab/model/ModelLists.java
@@ -103,11 +103,12 @@
             hosts.forEach(host -> named[gateway.index(host.address())] = true);
             for (int i = 0; i < named.length; i++) {
                 if (!named[i]) {
-                    watch.told(gateway.number(), i, false);
+                    watch.told(gateway.number(), i, false, 0);
                 }
             }
         }
-        hosts.forEach(host -> watch.told(gateway.number(), gateway.index(host.address()), host.health() == Health.UP));
+        hosts.forEach(host -> watch.told(gateway.number(), gateway.index(host.address()), host.health() == Health.UP,
+                host.born()));
         gateway.told(form, hosts);
     }
 }
--- a/src/main/java/mastdrift/lab/model/ModelNode.java
+++ b/src/main/java/mastdrift/lab/model/ModelNode.java
@@ -71,6 +71,7 @@
     private double errors;
     private long born;
     private double bucket;
+    private double informed;
     private long bucketAt;
     private int epoch;
     private long ran;
@@ -195,11 +196,12 @@
         double filling = rules.fallMultiple() * kind.cores() * kind.speed() * warmth;
         double most = filling * rules.fallSpan();
         bucket = Math.min(most, bucket + filling * (time.now() - bucketAt)) - work;
+        informed = Math.min(most, informed + filling * (time.now() - bucketAt)) - (send.informed() ? work : 0);
         bucketAt = time.now();
         if (bucket >= 0) {
             return false;
         }
-        watch.fell(this, send.request());
+        watch.fell(this, send.request(), informed < 0);
         fallen = true;
         stop();
         send.reset();
@@ -312,6 +314,7 @@
             born = time.now();
             bucket = rules.fallMultiple() * kind.cores() * kind.speed() * rules.coldFrom() * rules.fallSpan();
             bucketAt = born;
+            informed = bucket;
             sheds = false;
             frozen = false;
         }
--- a/src/main/java/mastdrift/lab/model/ModelTransport.java
+++ b/src/main/java/mastdrift/lab/model/ModelTransport.java
@@ -216,6 +216,11 @@
             return over;
         }
 
+        @Override
+        public boolean informed() {
+            return watch.knows(gateway, node);
+        }
+
         @Override
         public void begun(ModelNode at) {
             if (asked != null) {
--- a/src/main/java/mastdrift/lab/model/Send.java
+++ b/src/main/java/mastdrift/lab/model/Send.java
@@ -17,6 +17,9 @@
     /** Whether its gateway has given it up. */
     boolean given();
 
+    /** Whether its gateway has been told of the node's present start. */
+    boolean informed();
+
     /** The node begins to run it. */
     void begun(ModelNode node);
 
--- a/src/main/java/mastdrift/lab/model/Watch.java
+++ b/src/main/java/mastdrift/lab/model/Watch.java
@@ -30,7 +30,9 @@
     private final Map<Long, Long> told = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final long[] broken = new long[5];
+    private final Map<Long, Long> bornTold = new HashMap<>();
     private long dropped;
+    private long fallenUnheard;
 
     Watch(VirtualTime time, Rules rules, List<RequestClass> classes) {
         this.time = time;
@@ -90,6 +92,11 @@
         return false;
     }
 
+    /** Cold nodes that fell by what gateways sent that had not been told of their start. */
+    long fallenUnheard() {
+        return fallenUnheard;
+    }
+
     /** Repeats that a group dropped. */
     long dropped() {
         return dropped;
@@ -98,7 +105,10 @@
     // ---- rule 3
 
     /** A gateway was told of a node. */
-    void told(int gateway, int node, boolean takesNew) {
+    void told(int gateway, int node, boolean takesNew, long born) {
+        if (born > 0) {
+            bornTold.put((long) gateway << 32 | node, born);
+        }
         if (takesNew) {
             told.remove((long) gateway << 32 | node);
         } else {
@@ -118,12 +128,23 @@
     /** A gateway that starts anew has been told nothing yet. */
     void forget(int gateway) {
         told.keySet().removeIf(key -> key >> 32 == gateway);
+        bornTold.keySet().removeIf(key -> key >> 32 == gateway);
     }
 
     // ---- rule 4
 
-    /** A cold node was sent more than it can bear, and fell over. */
-    void fell(ModelNode node, long request) {
+    /** Whether a gateway has been told of the present start of a node: what it sends before is nobody's fault. */
+    boolean knows(int gateway, ModelNode node) {
+        return bornTold.getOrDefault((long) gateway << 32 | node.index(), 0L) == node.born();
+    }
+
+    /** A cold node was sent more than it can bear, and fell over; {@code known} tells whether what gateways sent that had been
+        told of its start was too much by itself. */
+    void fell(ModelNode node, long request, boolean known) {
+        if (!known) {
+            fallenUnheard++;
+            return;
+        }
         breach(4, request, node.uid(), "expected a cold node to stay up, found it pushed over");
     }
 
--- a/src/main/java/mastdrift/lab/report/Charts.java
+++ b/src/main/java/mastdrift/lab/report/Charts.java
@@ -4,7 +4,10 @@
 import java.awt.Color;
 import java.awt.Font;
 import java.awt.geom.Rectangle2D;
+import java.text.DecimalFormat;
+import java.text.DecimalFormatSymbols;
 import java.util.List;
+import java.util.Locale;
 import mastdrift.lab.Results.FaultMark;
 import org.jfree.chart.JFreeChart;
 import org.jfree.chart.axis.LogAxis;
@@ -60,12 +63,19 @@
 
     /** Latency against 1 / (1 - quantile), both on logarithmic axes: tails get room. */
     static String tails(String id, List<Line> lines) {
-        LogAxis x = new LogAxis("1 / (1 - quantile)");
+        LogAxis x = decades("1 / (1 - quantile)");
         x.setRange(1, 10_000);
-        LogAxis y = new LogAxis("ms");
+        LogAxis y = decades("ms");
         return svg(id, plot(lines, x, y));
     }
 
+    private static LogAxis decades(String label) {
+        LogAxis axis = new LogAxis(label);
+        axis.setTickUnit(new NumberTickUnit(1));
+        axis.setNumberFormatOverride(new DecimalFormat("0.###", DecimalFormatSymbols.getInstance(Locale.ROOT)));
+        return axis;
+    }
+
     /** Against a rank, from 0 to 1. */
     static String ranks(String id, String yLabel, List<Line> lines) {
         NumberAxis x = new NumberAxis("nodes, the least used first");
--- a/src/main/java/mastdrift/standin/StandInHost.java
+++ b/src/main/java/mastdrift/standin/StandInHost.java
@@ -119,7 +119,7 @@
         work = className -> micros;
     }
 
-    /** From now on a request of a class takes so many microseconds; asked on the loop's thread, once a request. */
+    /** From now on a request of a class (the rest of its path, after {@code /api/}) takes so many microseconds; asked on the loop's thread, once a request. */
     public void works(ToDoubleFunction<String> microsByClass) {
         work = microsByClass;
     }
@@ -178,7 +178,7 @@
                 context.writeAndFlush(response);
                 return;
             }
-            queue.add(new Job(context, id, key, message.headers().get("X-Qos", ""), manner));
+            queue.add(new Job(context, id, key, message.uri().substring(Math.min(message.uri().length(), "/api/".length())), manner));
             next();
         }
 
