--- a/src/test/java/mastdrift/lab/load/LoadTest.java
+++ b/src/test/java/mastdrift/lab/load/LoadTest.java
@@ -49,7 +49,12 @@
     }
 
     private void pause(long millis) {
-        loop.execute(() -> LockSupport.parkNanos(millis * 1_000_000));
+        loop.execute(() -> {
+            long until = System.nanoTime() + millis * 1_000_000;
+            for (long left = until - System.nanoTime(); left > 0; left = until - System.nanoTime()) {
+                LockSupport.parkNanos(left);  // which may return early
+            }
+        });
     }
 
     /** The hard case of a gateway that stops for 500 ms: each request that was due meanwhile shows it, where a client that waits
