Load tool: who waits behind a request that came too late is not left waiting

Seen in a test on a busy machine: 73 of 400 requests were never counted, since a connection that found its request's time over went free without a look at who waits.

--- a/src/main/java/mastdrift/lab/load/HttpDriver.java
+++ b/src/main/java/mastdrift/lab/load/HttpDriver.java
@@ -178,6 +178,7 @@
                 shot = null;
                 ear.ended(given, Ended.UNSENT, 0);
                 free();
+                next();  // or who waits behind it would wait for good
                 return;
             }
             ear.left(given, waited);
