Structured log off the platform: events with stable names as text or JSON lines

Need: `serve` printed lines for a person alone, from the loop's own thread, without a time or a level.

`lab run --by` and `--seeds` go before the file.

Seen: a sink that stands still holds up nobody in 200 events, all but some tens are dropped and counted.

--- a/src/main/java/mastdrift/cli/Commands.java
+++ b/src/main/java/mastdrift/cli/Commands.java
@@ -9,12 +9,12 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import mastdrift.config.Configuration;
 import mastdrift.config.ConfigurationReader;
+import mastdrift.events.Events;
 import mastdrift.files.FileTexts;
 import mastdrift.files.StatusFile;
+import mastdrift.logging.LogSetup;
 import mastdrift.serve.Changes;
 import mastdrift.serve.Service;
 import picocli.CommandLine;
@@ -59,29 +59,40 @@
     static final class Serve implements Callable<Integer> {
 
         private static final int STOP_SECONDS = 30;
-        // Kept, since a logger that nobody holds forgets its level.
-        private static final Logger LIBRARY_LOG = Logger.getLogger("io.netty");
-
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
 
         @Option(names = "--config", required = true, paramLabel = "FILE", description = "the gateway's file")
         private Path config;
 
+        @Option(names = "--log", paramLabel = "FORM", defaultValue = "text",
+                description = "lines of the log on standard output: text or json (${DEFAULT-VALUE})")
+        private String form;
+
         @Override
         public Integer call() throws InterruptedException {
-            LIBRARY_LOG.setLevel(Level.OFF);
+            LogSetup log;
             Service service;
             try {
-                service = Service.start(config, System.out);
+                log = new LogSetup(System.out, LogSetup.Form.parse(form));
+            } catch (IllegalArgumentException e) {
+                spec.commandLine().getErr().println("--log: " + e.getMessage());
+                return WORDS;
+            }
+            try {
+                service = Service.start(config, log.events());
             } catch (IllegalArgumentException e) {
+                log.close();
                 spec.commandLine().getErr().println(e.getMessage());
                 return REFUSED;
             }
             CountDownLatch stopped = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
-                    System.out.println(service.stop(STOP_SECONDS) ? "stopped" : "stopped with requests unanswered");
+                    boolean all = service.stop(STOP_SECONDS);
+                    log.events().event(all ? Events.Level.INFO : Events.Level.WARN, "stopped",
+                            all ? "stopped" : "stopped with requests unanswered");
+                    log.close();
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
--- a/src/main/java/mastdrift/cli/LabCommand.java
+++ b/src/main/java/mastdrift/cli/LabCommand.java
@@ -43,8 +43,8 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "expected a command");
     }
 
-    private static Experiment read(Path file, PrintWriter err) {
-        ExperimentReader.Result result = ExperimentReader.read(file);
+    private static Experiment read(Path file, String by, Long seeds, PrintWriter err) {
+        ExperimentReader.Result result = ExperimentReader.read(file, by, seeds);
         result.problems().forEach(err::println);
         return result.experiment();
     }
@@ -66,11 +66,21 @@
         @Option(names = "--threads", paramLabel = "N", description = "runs at once (default: a core each, as memory allows)")
         private Integer threads;
 
+        @Option(names = "--by", paramLabel = "WAY", description = "model or loopback, whatever the file says")
+        private String by;
+
+        @Option(names = "--seeds", paramLabel = "N", description = "so many seeds, whatever the file says")
+        private Long seeds;
+
         @Override
         public Integer call() throws InterruptedException {
             PrintWriter to = spec.commandLine().getOut();
             PrintWriter err = spec.commandLine().getErr();
-            Experiment experiment = read(file, err);
+            if (by != null && !by.equals("model") && !by.equals("loopback") || seeds != null && (seeds < 1 || seeds > 1000)) {
+                err.println("expected --by model or loopback and --seeds from 1 to 1000, found " + by + " and " + seeds);
+                return WORDS;
+            }
+            Experiment experiment = read(file, by, seeds, err);
             if (experiment == null) {
                 return WORDS;
             }
@@ -212,7 +222,7 @@
         public Integer call() {
             PrintWriter to = spec.commandLine().getOut();
             PrintWriter err = spec.commandLine().getErr();
-            Experiment experiment = read(file, err);
+            Experiment experiment = read(file, null, null, err);
             if (experiment == null) {
                 return WORDS;
             }
--- a/src/main/java/mastdrift/lab/ExperimentReader.java
+++ b/src/main/java/mastdrift/lab/ExperimentReader.java
@@ -54,32 +54,36 @@
     private static final Set<What> LOOPBACK_FAULTS = Set.of(What.SLOW, What.CRASH, What.DRAIN, What.SHED, What.FREEZE);
 
     private final Path folder;
+    private final String by;
+    private final Long seedsGiven;
     private final Problems problems = new Problems();
 
-    private ExperimentReader(Path folder) {
+    private ExperimentReader(Path folder, String by, Long seeds) {
         this.folder = folder;
+        this.by = by;
+        this.seedsGiven = seeds;
     }
 
     /** An experiment, or null and what is wrong. */
     public record Result(Experiment experiment, List<String> problems) { }
 
-    /** Reads a file. */
-    public static Result read(Path file) {
+    /** Reads a file; {@code by} and {@code seeds} go before what it says of them, where they are not null. */
+    public static Result read(Path file, String by, Long seeds) {
         String name = Objects.toString(file.getFileName());
         try {
             if (!Files.isRegularFile(file) || Files.size(file) > FILE_MOST) {
                 return new Result(null, List.of(name + ": expected a file of at most 1 MiB, found "
                         + (Files.isRegularFile(file) ? "a larger one" : "none")));
             }
-            return read(name, Files.readString(file, StandardCharsets.UTF_8), file.toAbsolutePath().getParent());
+            return read(name, Files.readString(file, StandardCharsets.UTF_8), file.toAbsolutePath().getParent(), by, seeds);
         } catch (IOException e) {
             return new Result(null, List.of(name + ": expected a text in UTF-8 that can be read, found " + e));
         }
     }
 
     /** Reads a text; jars of other builds are looked for from the folder. */
-    static Result read(String name, String text, Path folder) {
-        ExperimentReader reader = new ExperimentReader(folder);
+    static Result read(String name, String text, Path folder, String by, Long seeds) {
+        ExperimentReader reader = new ExperimentReader(folder, by, seeds);
         Section root = Section.root(name, text, reader.problems);
         Experiment experiment = null;
         if (root != null) {
@@ -95,14 +99,16 @@
     private Experiment experiment(Section root) {
         Section head = root.section("experiment");
         String name = Tables.word(head, "name", head.requiredText("name"));
-        boolean byModel = head.word("by", Boolean.TRUE, List.of("model", "loopback"), List.of(true, false));
+        boolean said = head.word("by", Boolean.TRUE, List.of("model", "loopback"), List.of(true, false));
+        boolean byModel = by == null ? said : by.equals("model");
         long length = head.requiredSpan("length", SECOND, 60 * MINUTE);
         long warm = head.span("warm", 0, 0, 60 * MINUTE);
         if (warm >= length) {
             head.problem("warm", "expected less than the length");
         }
         long first = head.whole("first_seed", 1, 0, Long.MAX_VALUE / 2);
-        List<Long> seeds = LongStream.range(first, first + head.whole("seeds", 1, 1, SEEDS_MOST)).boxed().toList();
+        long many = head.whole("seeds", 1, 1, SEEDS_MOST);
+        List<Long> seeds = LongStream.range(first, first + (seedsGiven == null ? many : seedsGiven)).boxed().toList();
         head.noMore();
         Scenario.Site site = site(root.section("site"));
         List<RequestClass> classes = Tables.classes(root);
--- a/src/main/java/mastdrift/lab/model/ModelClients.java
+++ b/src/main/java/mastdrift/lab/model/ModelClients.java
@@ -66,7 +66,7 @@
         }
 
         void ran(String from, ModelNode node) {
-            world.ran(from, node);
+            world.ran(askedAt, from, node);
         }
 
         private void count(Of of) {
--- a/src/main/java/mastdrift/lab/model/World.java
+++ b/src/main/java/mastdrift/lab/model/World.java
@@ -190,9 +190,11 @@
         }
     }
 
-    void ran(String from, ModelNode node) {
-        attempts++;
-        crossed += from.equals(node.zone()) ? 0 : 1;
+    void ran(long askedAt, String from, ModelNode node) {
+        if (counts(askedAt)) {
+            attempts++;
+            crossed += from.equals(node.zone()) ? 0 : 1;
+        }
     }
 
     boolean twice() {
--- a/src/main/java/mastdrift/serve/Control.java
+++ b/src/main/java/mastdrift/serve/Control.java
@@ -37,8 +37,8 @@
         /** Lists that changed by another source, or by time. */
         void listed(Map<String, PoolList> changed, long toldAt);
 
-        /** A line for the operator. */
-        void log(String line);
+        /** What a list was told and does not hold, and why. */
+        void leftOut(String pool, String line);
     }
 
     /** What discovery has told since the control thread last looked; one a pool. */
@@ -186,7 +186,7 @@
     private void complain(Map<String, PoolList> changed) {
         changed.forEach((pool, list) -> {
             if (!list.leftOut().equals(leftOut.getOrDefault(pool, List.of()))) {
-                list.leftOut().forEach(line -> loop.log("pool " + pool + ": left out " + line));
+                list.leftOut().forEach(line -> loop.leftOut(pool, line));
             }
             leftOut.put(pool, list.leftOut());
         });
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -45,6 +45,8 @@
 import mastdrift.engine.Source;
 import mastdrift.engine.Timers;
 import mastdrift.engine.Transport;
+import mastdrift.events.Events;
+import mastdrift.events.Events.Level;
 import mastdrift.files.StatusFile;
 import mastdrift.files.Watcher;
 import mastdrift.membership.PoolList;
@@ -87,7 +89,7 @@
     }
 
     private final Path file;
-    private final PrintStream out;
+    private final Events events;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final Clock clock = Clock.system();
     private final SplittableRandom seeds = new SplittableRandom();
@@ -102,11 +104,11 @@
     private volatile StatusFile status;
     private ClientSide clients;
     private final List<RadiusFront> radius = new ArrayList<>();
-    private final Drops drops = new Drops(clock::now, this::log);
+    private final Drops drops = new Drops(clock::now, this::dropped);
 
-    private Service(Path file, PrintStream out) {
+    private Service(Path file, Events events) {
         this.file = file;
-        this.out = out;
+        this.events = events;
         secrets = new Secrets(file, System.getenv());
         watcher = new Watcher(file, new Watcher.Taker() {
             @Override
@@ -122,10 +124,15 @@
         });
     }
 
-    /** Serves as a file says; throws IllegalArgumentException with all that speaks against it, a line each. Log lines go to
-        {@code out}. */
+    /** Serves as a file says; throws IllegalArgumentException with all that speaks against it, a line each. The texts of events
+        go to {@code out}. */
     public static Service start(Path file, PrintStream out) {
-        Service service = new Service(file, out);
+        return start(file, Events.printing(out));
+    }
+
+    /** Likewise, with events as they are. */
+    public static Service start(Path file, Events events) {
+        Service service = new Service(file, events);
         try {
             List<String> problems = service.watcher.first();
             if (!problems.isEmpty()) {
@@ -142,10 +149,11 @@
 
     private void listen() {
         bound(gateway.listen(), clients.listen(Addresses.parse(gateway.listen())));
-        log("listening on " + clients.address());
+        events.event(Level.INFO, "listening", "listening on " + clients.address(), "protocol", "http", "address", clients.address());
         for (int i = 0; i < radius.size(); i++) {
             bound(listeners.get(i).listen(), radius.get(i).listen(Addresses.parse(listeners.get(i).listen())));
-            log("listening for RADIUS on " + radius.get(i).address());
+            events.event(Level.INFO, "listening", "listening for RADIUS on " + radius.get(i).address(), "protocol", "radius",
+                    "address", radius.get(i).address());
         }
     }
 
@@ -171,14 +179,18 @@
     }
 
     private void log(String line) {
-        out.println(line.replace('\n', ' '));
+        events.event(Level.INFO, "gateway", line);
+    }
+
+    private void dropped(String line) {
+        events.event(Level.WARN, "radius_dropped", line);
     }
 
     // ---- changes
 
     /** Every word of the operator's: a log line, and the status file. */
     private void report(List<String> problems) {
-        problems.forEach(problem -> log("refused: " + problem));
+        problems.forEach(problem -> events.event(Level.WARN, "change_refused", "refused: " + problem));
         StatusFile to = status;
         if (to == null) {
             return;
@@ -191,7 +203,7 @@
         try {
             to.write(now);
         } catch (IOException e) {
-            log("status file not written: " + e);
+            events.event(Level.ERROR, "status_unwritten", "status file not written: " + e);
         }
     }
 
@@ -214,20 +226,22 @@
             Map<String, Ready> ready = Ready.of(changed);
             loop.submit(() -> configure(next, ready, toldAt)).syncUninterruptibly();
             Map<String, String> versions = next.versions();
-            log("in force: " + next.pools().keySet().stream().map(pool -> pool + " " + versions.get(pool)).toList()
-                    + ", " + next.routes().size() + " routes, changed pools " + changed.keySet());
+            events.event(Level.INFO, "in_force", "in force: " + next.pools().keySet().stream()
+                    .map(pool -> pool + " " + versions.get(pool)).toList() + ", " + next.routes().size()
+                    + " routes, changed pools " + changed.keySet(), "changed", changed.keySet());
         }
 
         @Override
         public void listed(Map<String, PoolList> changed, long toldAt) {
             Map<String, Ready> ready = Ready.of(changed);
             loop.execute(() -> ready.forEach((name, list) -> learn(pools.get(name), list, toldAt)));
-            log("list by discovery or time: changed pools " + changed.keySet());
+            events.event(Level.INFO, "list_changed", "list by discovery or time: changed pools " + changed.keySet(),
+                    "changed", changed.keySet());
         }
 
         @Override
-        public void log(String line) {
-            Service.this.log(line);
+        public void leftOut(String pool, String line) {
+            events.event(Level.WARN, "left_out", "pool " + pool + ": left out " + line, "pool", pool);
         }
     }
 
--- a/src/test/java/mastdrift/ArchitectureTest.java
+++ b/src/test/java/mastdrift/ArchitectureTest.java
@@ -20,9 +20,9 @@
 class ArchitectureTest {
 
     /** From the ground up; those on one floor don't import each other. */
-    private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings"),
+    private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings", "mastdrift.events"),
             List.of("mastdrift.membership", "mastdrift.radius", "mastdrift.routing", "mastdrift.lab.draw"), List.of("mastdrift.config"), List.of("mastdrift.engine"),
-            List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire", "mastdrift.radius.edge", "mastdrift.lab.model"), List.of("mastdrift.serve", "mastdrift.standin", "mastdrift.lab.load"),
+            List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire", "mastdrift.radius.edge", "mastdrift.lab.model", "mastdrift.logging"), List.of("mastdrift.serve", "mastdrift.standin", "mastdrift.lab.load"),
             List.of("mastdrift.lab"), List.of("mastdrift.lab.report"), List.of("mastdrift.cli", "mastdrift.measure"));
 
     private static final JavaClasses CLASSES = new ClassFileImporter()
--- a/src/test/java/mastdrift/lab/ExperimentTest.java
+++ b/src/test/java/mastdrift/lab/ExperimentTest.java
@@ -131,7 +131,7 @@
         "name = \"small\" | name = \"a b\" | expected up to 64 letters, digits, dots, - and _, found \"a b\"",
         "shape = \"lognormal\" | shape = \"normal\" | expected one of fixed, exponential, lognormal, pareto, found \"normal\""})
     void whatIsWrongIsNamedWithItsPlace(String text, String wrong, String expected) {
-        ExperimentReader.Result result = ExperimentReader.read("x.toml", Sample.TEXT.replace(text, wrong), Path.of("."));
+        ExperimentReader.Result result = ExperimentReader.read("x.toml", Sample.TEXT.replace(text, wrong), Path.of("."), null, null);
         assertTrue(result.experiment() == null && String.join("\n", result.problems()).contains(expected), result.problems().toString());
     }
 
@@ -148,7 +148,7 @@
         "[[limit]]\\nwhat = \"p99\" | limit[1]: expected least or most, found neither",
         "[[limit]]\\nwhat = \"p99\"\\nmost = 3 | limit[1].most: expected a time with a unit"})
     void faultsArmsAndLimitsAreChecked(String more, String expected) {
-        ExperimentReader.Result result = ExperimentReader.read("x.toml", Sample.with(more.replace("\\n", "\n") + "\n"), Path.of("."));
+        ExperimentReader.Result result = ExperimentReader.read("x.toml", Sample.with(more.replace("\\n", "\n") + "\n"), Path.of("."), null, null);
         assertTrue(result.experiment() == null && String.join("\n", result.problems()).contains(expected), result.problems().toString());
     }
 
--- a/src/test/java/mastdrift/lab/LoopbackTest.java
+++ b/src/test/java/mastdrift/lab/LoopbackTest.java
@@ -30,7 +30,7 @@
     void whatLoopbackCantDoIsRefused() {
         String text = TEXT.replace("what = \"drain\"", "what = \"cut\"\nzone = \"oviedo\"").replace("cores = 2", "cores = 2\nslots = 4")
                 .replace("tries = 1", "tries = 2").replace("count = 4", "count = 65");
-        String problems = ExperimentReader.read("x.toml", text + "[[arm]]\nname = \"a\"\npolicy = \"random\"\n", Path.of(".")).problems()
+        String problems = ExperimentReader.read("x.toml", text + "[[arm]]\nname = \"a\"\npolicy = \"random\"\n", Path.of("."), null, null).problems()
                 .toString();
         for (String expected : new String[] {"expected one of slow, freeze, crash, drain, shed over loopback, found cut", "expected as many slots",
             "expected 1 over loopback, found 2", "expected at most 64 over loopback nodes, found 65", "expected module and nothing that breaks"}) {
--- a/src/test/java/mastdrift/lab/Sample.java
+++ b/src/test/java/mastdrift/lab/Sample.java
@@ -71,7 +71,7 @@
     }
 
     static Experiment read(String text) {
-        ExperimentReader.Result result = ExperimentReader.read("x.toml", text, Path.of("."));
+        ExperimentReader.Result result = ExperimentReader.read("x.toml", text, Path.of("."), null, null);
         if (result.experiment() == null) {
             throw new IllegalArgumentException(String.join("\n", result.problems()));
         }
--- /dev/null
+++ b/src/test/java/mastdrift/logging/LogSetupTest.java
@@ -0,0 +1,116 @@
+package mastdrift.logging;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mastdrift.events.Events;
+import mastdrift.events.Events.Level;
+import org.junit.jupiter.api.Test;
+
+/** The log off the platform: its forms, and its bounds. */
+class LogSetupTest {
+
+    private static final int WAIT_SECONDS = 30;
+
+    private static List<String> lines(LogSetup.Form form, int events, int names) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (LogSetup log = new LogSetup(out, form)) {
+            for (int i = 0; i < events; i++) {
+                log.events().event(i == 0 ? Level.INFO : Level.ERROR, "name_" + i % names, "a text\nwith two lines", "pool", "main", "count", i);
+            }
+        }
+        return out.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+
+    @Test
+    void textAndJsonHoldNameLevelTextAndFields() throws Exception {
+        String text = lines(LogSetup.Form.TEXT, 1, 1).get(0);
+        assertTrue(text.matches("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z INFO  a text with two lines event=\"name_0\" pool=\"main\" "
+                + "count=\"0\""), text);
+        List<String> json = lines(LogSetup.Form.JSON, 2, 2);
+        assertEquals(2, json.size());
+        var object = JSON.std.mapFrom(json.get(1));
+        assertEquals("ERROR", object.get("level"));
+        assertEquals("a text with two lines", object.get("formattedMessage"));
+        assertTrue(object.get("kvpList").toString().contains("name_1"), object.toString());
+        assertEquals(LogSetup.Form.JSON, LogSetup.Form.parse("json"));
+        assertThrows(IllegalArgumentException.class, () -> LogSetup.Form.parse("xml"));
+    }
+
+    /** One name can't fill the log: beyond its part of a second it is counted, and the count is logged. */
+    @Test
+    void aNameThatIsTooLoudIsSuppressedAndCounted() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (LogSetup log = new LogSetup(out, LogSetup.Form.TEXT)) {
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+            while (!out.toString(StandardCharsets.UTF_8).contains("log_suppressed")) {
+                assertTrue(System.nanoTime() < until, "the count is logged in the next second");
+                for (int i = 0; i < 100; i++) {
+                    log.events().event(Level.INFO, "loud", "loud");
+                }
+                log.events().event(Level.INFO, "quiet", "quiet");
+                Thread.sleep(30);
+            }
+        }
+        List<String> all = out.toString(StandardCharsets.UTF_8).lines().toList();
+        assertTrue(all.stream().filter(line -> line.contains("\"loud\"")).count() <= 3 * BoundedLog.A_SECOND, "two or three seconds");
+        assertTrue(all.stream().anyMatch(line -> line.contains("\"quiet\"")));
+        assertTrue(all.stream().anyMatch(line -> line.matches(".* WARN  \\d+ events loud were suppressed.*event=\"log_suppressed\" count=.*")));
+    }
+
+    /** A sink that stands still holds up nobody: what finds no room is dropped, counted, and the count is logged. */
+    @Test
+    void aLogThatStandsStillHoldsUpNobody() throws Exception {
+        CountDownLatch stands = new CountDownLatch(1);
+        ByteArrayOutputStream kept = new ByteArrayOutputStream();
+        OutputStream blocked = new OutputStream() {
+            @Override
+            public void write(int b) {
+                throw new IllegalStateException("expected whole lines");
+            }
+
+            @Override
+            public void write(byte[] bytes, int from, int length) {
+                try {
+                    stands.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                synchronized (kept) {
+                    kept.write(bytes, from, length);
+                }
+            }
+        };
+        try (LogSetup log = new LogSetup(blocked, LogSetup.Form.TEXT, 16)) {
+            Events events = log.events();
+            long since = System.nanoTime();
+            for (int i = 0; i < 200; i++) {
+                events.event(Level.INFO, "n" + i, "x");
+            }
+            assertTrue(System.nanoTime() - since < TimeUnit.SECONDS.toNanos(10), "nobody waited");
+            long dropped = log.dropped();
+            assertTrue(dropped >= 200 - 3 * 16 && dropped < 200, "dropped " + dropped);  // a batch may be under way
+            stands.countDown();
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+            String text = "";
+            for (int i = 0; !text.contains("log_dropped"); i++) {
+                assertTrue(System.nanoTime() < until, text);
+                events.event(Level.INFO, "later" + i, "y");
+                Thread.sleep(5);
+                synchronized (kept) {
+                    text = kept.toString(StandardCharsets.UTF_8);
+                }
+            }
+            String told = text.replaceFirst("(?s).*WARN  (\\d+) events were dropped.*", "$1");
+            assertTrue(Long.parseLong(told) >= dropped, text);
+        }
+    }
+}
--- a/src/test/java/mastdrift/serve/RadiusServiceTest.java
+++ b/src/test/java/mastdrift/serve/RadiusServiceTest.java
@@ -238,6 +238,7 @@
                 assertEquals(Code.ACCESS_ACCEPT, ask(access(i), 20_000).code());
             }
             load.stop();
+            assertTrue(!rig.log().contains("both hops'"), "no secret in the log");
             assertEquals(0, load.failed());
         }
     }
