--- a/src/main/java/mastdrift/cli/Commands.java
+++ b/src/main/java/mastdrift/cli/Commands.java
@@ -69,6 +69,9 @@
                 description = "lines of the log on standard output: text or json (${DEFAULT-VALUE})")
         private String form;
 
+        @Option(names = "--cold", description = "listen at once, without rehearsing the path of a request first")
+        private boolean cold;
+
         @Override
         public Integer call() throws InterruptedException {
             LogSetup log;
@@ -80,7 +83,7 @@
                 return WORDS;
             }
             try {
-                service = Service.start(config, log.events());
+                service = Service.start(config, log.events(), !cold);
             } catch (IllegalArgumentException e) {
                 log.close();
                 spec.commandLine().getErr().println(e.getMessage());
--- a/src/main/java/mastdrift/lab/GatewayProcess.java
+++ b/src/main/java/mastdrift/lab/GatewayProcess.java
@@ -52,11 +52,13 @@
         }
     }
 
-    /** One from files, with the class path of this program. */
-    public static GatewayProcess serve(String cpus, java.nio.file.Path file, int listeners)
+    /** One from files, with the class path of this program; {@code more} are further words of {@code serve}. */
+    public static GatewayProcess serve(String cpus, java.nio.file.Path file, int listeners, String... more)
             throws IOException, InterruptedException {
-        return start(cpus, List.of("-cp", System.getProperty("java.class.path"), "mastdrift.cli.Main", "serve", "--config",
-                file.toString()), Map.of(), listeners);
+        List<String> words = new ArrayList<>(List.of("-cp", System.getProperty("java.class.path"), "mastdrift.cli.Main", "serve",
+                "--config", file.toString()));
+        words.addAll(List.of(more));
+        return start(cpus, words, Map.of(), listeners);
     }
 
     private void read(int listeners) {
--- a/src/main/java/mastdrift/measure/RadiusMeasurement.java
+++ b/src/main/java/mastdrift/measure/RadiusMeasurement.java
@@ -99,8 +99,8 @@
                 result.faults().isEmpty() ? "" : " (does not count: " + result.faults() + ")");
     }
 
-    /** One thread that passes datagrams on as they are, and knows who asked by the Request Authenticator's stand-in: identifiers
-        are given anew, as any relay must. */
+    /** One thread that passes datagrams on as they are, and knows by the identifier who asked: the load tool's identifiers go round,
+        so that 32 that are out at once are not alike. */
     private static void relay(int port) throws IOException {
         try (DatagramChannel front = DatagramChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
                 DatagramChannel back = DatagramChannel.open().connect(new InetSocketAddress("127.0.0.1", port));
@@ -109,25 +109,18 @@
             back.configureBlocking(false).register(selector, SelectionKey.OP_READ);
             System.out.println("listening on " + front.getLocalAddress());
             SocketAddress[] askers = new SocketAddress[256];
-            byte[] given = new byte[256];
-            int next = 0;
             ByteBuffer buffer = ByteBuffer.allocateDirect(Packet.MOST);
             while (true) {
                 selector.select();
                 selector.selectedKeys().clear();
                 for (SocketAddress from = read(front, buffer); from != null; from = read(front, buffer)) {
-                    next = next + 1 & 255;
-                    askers[next] = from;
-                    given[next] = buffer.get(1);
-                    buffer.put(1, (byte) next);
+                    askers[buffer.get(1) & 0xFF] = from;
                     back.write(buffer);
                 }
                 buffer.clear();
                 while (back.read(buffer) > 0) {
                     buffer.flip();
-                    int answered = buffer.get(1) & 0xFF;
-                    buffer.put(1, given[answered]);
-                    front.send(buffer, askers[answered]);
+                    front.send(buffer, askers[buffer.get(1) & 0xFF]);
                     buffer.clear();
                 }
             }
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -6,12 +6,15 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import mastdrift.Balance;
@@ -41,7 +44,7 @@
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
-            Rehearsal.play(config, loop(), System.out);
+            rehearse(config, loop(), System.out::println);
             Started now = start(config, loop, System.out);
             ClientSide clients = now.clients();
             started.complete(now.gateway());
@@ -53,6 +56,14 @@
         }
     }
 
+    static void rehearse(Config config, EventLoop on, Consumer<String> log) {
+        PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
+        Rehearsal.play((loop, hosts, at) -> Started.with(new Config(at, at, config.sockets(), new HostList(0, true, hosts),
+                config.settings()), loop, hosts.size() * 2, hosts.size(), hosts.size(), silent).clients(),
+                config.settings().classes(), config.settings().tenants(), config.settings().site().zone(),
+                config.listen().getAddress(), on, log);
+    }
+
     /** The only way to hear a signal that is not the end of the program; javac warns of the package, whatever is asked. */
     private static void onHangUp(Runnable then) {
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -19,25 +19,33 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.io.PrintStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
+import mastdrift.Balancer.Tenant;
 import mastdrift.engine.Member;
 
 /** Loads and compiles the path of a request before the first one comes: a cold virtual machine takes 5 ms of its core
     for each at first, so that requests would queue past their time. A second gateway, on the same address and on a
     loop that ends with it, serves itself from a stand-in for hosts; no real host or discovery hears of it. */
-final class Rehearsal {
+public final class Rehearsal {
+
+    /** Makes the second gateway. */
+    public interface Stage {
+        /** Its front, not yet listening; on the loop's thread. The hosts are all at {@code at}, which stands in for a discovery
+            that is down too. */
+        ClientSide open(EventLoop loop, List<Member> hosts, InetSocketAddress at);
+    }
 
     private static final int REQUESTS = 800;
     private static final int HOSTS = 8;
@@ -46,9 +54,10 @@
 
     private Rehearsal() { }
 
-    /** Plays it once; a rehearsal that goes wrong costs speed alone. */
-    static void play(Config config, EventLoop loop, PrintStream out) {
-        InetSocketAddress any = new InetSocketAddress(config.listen().getAddress(), 0);
+    /** Plays it once, on an address of this machine; a rehearsal that goes wrong costs speed alone. Ends the loop. */
+    public static void play(Stage stage, List<RequestClass> classes, List<Tenant> tenants, String zone, InetAddress address,
+            EventLoop loop, Consumer<String> log) {
+        InetSocketAddress any = new InetSocketAddress(address, 0);
         try {
             Channel host = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                     .childHandler(new ChannelInitializer<Channel>() {
@@ -60,15 +69,12 @@
                     }).bind(any).sync().channel();
             InetSocketAddress at = (InetSocketAddress) host.localAddress();
             List<Member> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new Member(
-                    new Host("rehearsal-" + i, config.settings().site().zone(), 0, "", 1, Health.UP, 0), at)).toList();
-            Config rehearsed = new Config(any, at, config.sockets(), new HostList(0, true, hosts), config.settings());
-            PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
-            ClientSide clients = CompletableFuture.supplyAsync(
-                    () -> Main.Started.with(rehearsed, loop, HOSTS * 2, HOSTS, HOSTS, silent), loop).join().clients();
+                    new Host("rehearsal-" + i, zone, 0, "", 1, Health.UP, 0), at)).toList();
+            ClientSide clients = CompletableFuture.supplyAsync(() -> stage.open(loop, hosts, at), loop).join();
             clients.listen(any).sync();
-            ask(clients.address(), config);
+            ask(clients.address(), classes, tenants);
         } catch (IOException e) {
-            out.println("rehearsal ended early: " + e);
+            log.accept("rehearsal ended early: " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -76,9 +82,8 @@
         }
     }
 
-    private static void ask(InetSocketAddress at, Config config) throws IOException {
-        List<RequestClass> classes = config.settings().classes();
-        String tenant = config.settings().tenants().isEmpty() ? "none" : config.settings().tenants().get(0).name();
+    private static void ask(InetSocketAddress at, List<RequestClass> classes, List<Tenant> tenants) throws IOException {
+        String tenant = tenants.isEmpty() ? "none" : tenants.get(0).name();
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MILLIS);
             socket.setTcpNoDelay(true);
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -53,6 +53,7 @@
 import mastdrift.net.Addresses;
 import mastdrift.net.ClientSide;
 import mastdrift.net.HttpTransport;
+import mastdrift.net.Rehearsal;
 import mastdrift.radius.Authenticators;
 import mastdrift.radius.Resends;
 import mastdrift.radius.edge.Drops;
@@ -99,6 +100,7 @@
     private final Control control = new Control(new Loop(), clock::now);
     private final Watcher watcher;
     private final Secrets secrets;
+    private Configuration started;
     private GatewaySettings gateway;
     private List<RadiusSettings> listeners = List.of();
     private volatile StatusFile status;
@@ -127,17 +129,21 @@
     /** Serves as a file says; throws IllegalArgumentException with all that speaks against it, a line each. The texts of events
         go to {@code out}. */
     public static Service start(Path file, PrintStream out) {
-        return start(file, Events.printing(out));
+        return start(file, Events.printing(out), false);
     }
 
-    /** Likewise, with events as they are. */
-    public static Service start(Path file, Events events) {
+    /** Likewise, with events as they are. {@code rehearsed}: it listens only once the path of an HTTP request is loaded and
+        compiled, some two seconds later. */
+    public static Service start(Path file, Events events, boolean rehearsed) {
         Service service = new Service(file, events);
         try {
             List<String> problems = service.watcher.first();
             if (!problems.isEmpty()) {
                 throw new IllegalArgumentException(String.join("\n", problems));
             }
+            if (rehearsed) {
+                service.rehearse();
+            }
             service.listen();
             service.watcher.start();
             return service;
@@ -147,6 +153,24 @@
         }
     }
 
+    /** On a loop of its own, with one pool of stand-ins, by the settings of the first pool for HTTP. */
+    private void rehearse() {
+        PoolSettings first = started.pools().values().stream().filter(pool -> !pool.radius()).findFirst().orElse(null);
+        if (first == null) {
+            return;
+        }
+        Settings module = settings(started, first);
+        Rehearsal.play((own, hosts, at) -> {
+            Ledger rehearsed = new Ledger(Timers.of(own), clock, OPEN_MOST, this::log);
+            Pool pool = new Pool("rehearsal", rehearsed, new Balance(), module,
+                    new HttpTransport(own, clock::now, module, first.connections(), line -> { }));
+            pool.start(Source.TELLS, hosts);
+            return new ClientSide(own, rehearsed, (type, tenant, message, key) -> pool, started.classes(), started.tenants(),
+                    gateway.connections(), line -> { });
+        }, started.classes(), started.tenants(), gateway.zone(), Addresses.parse(gateway.listen()).getAddress(),
+                new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(), this::log);
+    }
+
     private void listen() {
         bound(gateway.listen(), clients.listen(Addresses.parse(gateway.listen())));
         events.event(Level.INFO, "listening", "listening on " + clients.address(), "protocol", "http", "address", clients.address());
@@ -248,6 +272,7 @@
     /** One event of the loop: all of a change is in force once it returns, and nothing of it before. */
     private void configure(Configuration next, Map<String, Ready> changed, long toldAt) {
         if (gateway == null) {
+            started = next;
             gateway = next.gateway();
             status = gateway.statusFile() == null ? null : new StatusFile(file, gateway.statusFile());
             clients = new ClientSide(loop, ledger, this::route, next.classes(), next.tenants(), gateway.connections(),
