--- a/src/main/java/mastdrift/measure/LabMeasurement.java
+++ b/src/main/java/mastdrift/measure/LabMeasurement.java
@@ -56,7 +56,8 @@
         Path file = Files.createTempFile("mastdrift-scale", ".toml");
         try {
             Files.writeString(file, text.replaceAll("gateways = \\d+", "gateways = " + gateways)
-                    .replaceAll("count = \\d+", "count = " + nodes / 2));
+                    .replaceAll("count = \\d+", "count = " + nodes / 2)
+                    .replaceAll("rate = \"\\d+\"", "rate = \"" + 2 * nodes + "\""));  // two a second and node, as in the file
             ExperimentReader.Result read = ExperimentReader.read(file, "model", 1L);
             if (read.experiment() == null) {
                 throw new IOException(String.join("\n", read.problems()));
