--- a/src/main/java/mastdrift/lab/Loopback.java
+++ b/src/main/java/mastdrift/lab/Loopback.java
@@ -56,6 +56,7 @@
     private final Effects effects;
     private final List<StandInHost> hosts = new ArrayList<>();
     private final List<String> pools = new ArrayList<>();
+    private final List<String> kindOf = new ArrayList<>();
     private final Set<Integer> leaving = new LinkedHashSet<>();
     private final Set<Integer> gone = new LinkedHashSet<>();
     private final Map<Integer, Long> leftAt = new HashMap<>();
@@ -128,6 +129,7 @@
                 host.queue(kind.queue());
                 hosts.add(host);
                 pools.add(group.pool());
+                kindOf.add(group.kind());
             }
         }
     }
@@ -213,6 +215,7 @@
         List<Integer> struck = new ArrayList<>();
         for (int i = 0; i < hosts.size(); i++) {
             if ((fault.where().zone() == null || fault.where().zone().equals(zone(i)))
+                    && (fault.where().kind() == null || fault.where().kind().equals(kindOf.get(i)))
                     && (fault.where().pool() == null || fault.where().pool().equals(pools.get(i)))
                     && (fault.where().node() == null || fault.where().node().equals(hosts.get(i).name()))) {
                 struck.add(i);
--- a/src/main/java/mastdrift/lab/load/LoadRun.java
+++ b/src/main/java/mastdrift/lab/load/LoadRun.java
@@ -48,7 +48,7 @@
         loops = new MultiThreadIoEventLoopGroup(plan.threads(), NioIoHandler.newFactory());
         Streams streams = Streams.of(plan.seed());
         for (int i = 0; i < plan.threads(); i++) {
-            lanes.add(new Lane(loops.next(), share(plan.connections(), i), share(plan.closed(), i), i,
+            lanes.add(new Lane(loops.next(), share(plan.connections(), i), share(plan.closed(), i),
                     streams.below("lane-" + i)));
         }
         pacer = daemon("load-pacer", () -> pace(streams));
@@ -105,7 +105,7 @@
                 LockSupport.parkNanos(wait);
             }
             int part = mix.part();
-            Shot shot = new Shot(due, due, part, plan.parts().get(part), chains.nextLong(), mix.key(), 1);
+            Shot shot = new Shot(due, part, plan.parts().get(part), chains.nextLong(), mix.key(), 1);
             Lane to = lanes.get(lane++ % lanes.size());
             to.loop.execute(() -> to.first(shot));
         }
@@ -152,7 +152,7 @@
         private long tickAt;
         private volatile int out;
 
-        Lane(EventLoop loop, int connections, int loopers, int number, Streams streams) {
+        Lane(EventLoop loop, int connections, int loopers, Streams streams) {
             this.loop = loop;
             this.loopers = loopers;
             this.streams = streams;
@@ -203,7 +203,7 @@
         private void another() {
             int part = mix.part();
             long now = System.nanoTime();
-            first(new Shot(now, now, part, plan.parts().get(part), chains.nextLong(), mix.key(), 1));
+            first(new Shot(now, part, plan.parts().get(part), chains.nextLong(), mix.key(), 1));
         }
 
         @Override
--- a/src/main/java/mastdrift/lab/load/Shot.java
+++ b/src/main/java/mastdrift/lab/load/Shot.java
@@ -2,9 +2,9 @@
 
 import mastdrift.lab.draw.Mix;
 
-/** One try of a request. {@code due} and {@code first} (of the first try) in nanoseconds of System.nanoTime; {@code chain} is
+/** One try of a request. {@code due} in nanoseconds of System.nanoTime; {@code chain} is
     the same for all tries of a request and makes its keys. */
-record Shot(long due, long first, int number, Mix.Part part, long chain, int key, int tries) {
+record Shot(long due, int number, Mix.Part part, long chain, int key, int tries) {
 
     /** Ids are new with every try. */
     String id() {
@@ -17,6 +17,6 @@
     }
 
     Shot again(long dueThen) {
-        return new Shot(dueThen, first, number, part, chain, key, tries + 1);
+        return new Shot(dueThen, number, part, chain, key, tries + 1);
     }
 }
--- a/src/main/java/mastdrift/lab/model/Measured.java
+++ b/src/main/java/mastdrift/lab/model/Measured.java
@@ -34,7 +34,6 @@
     private final long[] broken = new long[5];
     private final Map<String, Long> counts = new TreeMap<>();
     private long[] ranByNode = new long[0];
-    private double[] busyByNode = new double[0];
 
     Measured(List<String> classes, int seconds) {
         this.classes = List.copyOf(classes);
@@ -112,11 +111,6 @@
         return ranByNode.clone();
     }
 
-    /** Core-microseconds that each node worked. */
-    public double[] busyByNode() {
-        return busyByNode.clone();
-    }
-
     void add(int second, int type, Of of) {
         rows[Math.min(rows.length - 1, second)][type][of.ordinal()]++;
     }
@@ -134,8 +128,7 @@
         counts.put("cold_nodes_fallen_unheard", watch.fallenUnheard());
     }
 
-    void worked(long[] ran, double[] busy) {
+    void worked(long[] ran) {
         ranByNode = ran;
-        busyByNode = busy;
     }
 }
--- a/src/main/java/mastdrift/lab/model/ModelNode.java
+++ b/src/main/java/mastdrift/lab/model/ModelNode.java
@@ -75,7 +75,6 @@
     private long bucketAt;
     private int epoch;
     private long ran;
-    private double busy;
 
     ModelNode(VirtualTime time, Watch watch, Rules rules, Scenario.Kind kind, int index, String uid, String pool, String zone,
             int cell, UniformRandomProvider random, Consumer<ModelNode> fell) {
@@ -150,12 +149,6 @@
         return ran;
     }
 
-    /** Core-microseconds that it has worked. */
-    double busy() {
-        advance();
-        return busy;
-    }
-
     // ---- what comes
 
     /** A request is here whole; its outcome goes to the send, when it is known. */
@@ -228,7 +221,6 @@
     private void advance() {
         long now = time.now();
         served += rate * (now - last);
-        busy += (now - last) * (rate > 0 ? Math.min(running.size(), kind.cores()) : 0);
         last = now;
     }
 
--- a/src/main/java/mastdrift/lab/model/World.java
+++ b/src/main/java/mastdrift/lab/model/World.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -159,12 +158,10 @@
             }
         }
         long[] ran = new long[nodes.length];
-        double[] busy = new double[nodes.length];
         for (int i = 0; i < nodes.length; i++) {
             ran[i] = nodes[i].ran();
-            busy[i] = nodes[i].busy();
         }
-        measured.worked(ran, busy);
+        measured.worked(ran);
         measured.seen(watch);
         measured.counts().put("attempts", attempts);
         measured.counts().put("attempts_across_zones", crossed);
@@ -332,11 +329,4 @@
             populations.forEach(population -> population.front(gateway, true));
         }));
     }
-
-    /** Counts of the nodes by pool and zone, for reports. */
-    public static Map<String, Integer> sizes(Scenario scenario) {
-        Map<String, Integer> sizes = new LinkedHashMap<>();
-        scenario.groups().forEach(group -> sizes.merge(group.pool(), group.count(), Integer::sum));
-        return sizes;
-    }
 }
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -133,7 +133,7 @@
     }
 
     /** Likewise, with events as they are. {@code rehearsed}: it listens only once the path of an HTTP request is loaded and
-        compiled, some two seconds later. */
+        compiled, about a second later. */
     public static Service start(Path file, Events events, boolean rehearsed) {
         Service service = new Service(file, events);
         try {
