--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -133,6 +133,8 @@
     private final double[] idleSeen = new double[64];
     private long idleLimit = Long.MAX_VALUE;
     private long idleUntil;
+    private long ownStanding;
+    private long ownBehind;
 
     // ---- events
 
@@ -178,6 +180,12 @@
         }
     }
 
+    @Override
+    public void own(long now, long standing, long behind) {
+        ownStanding = standing;
+        ownBehind = behind;
+    }
+
     @Override
     public void request(long now, Request request) {
         Integer cls = classes.get(request.className());
@@ -192,6 +200,11 @@
         arrived++;
         retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
         probeBudget = Math.min(BUDGET_MOST, probeBudget + PROBE_SHARE);
+        if (req.ends - now <= ownStanding) {  // no host's answer would be read in time
+            req.why = Why.GATEWAY;
+            answer(req);
+            return;
+        }
         Session session = req.keyed ? sessions.get(key) : null;
         Server server = session == null ? null : stick(now, req, session);
         server = server == null ? draw(now, req) : server;
@@ -353,7 +366,7 @@
             }
         }
         for (Attempt attempt : server.out) {
-            double age = (now - attempt.sentAt) / usual[attempt.cls];
+            double age = (now - ownBehind - attempt.sentAt) / usual[attempt.cls];
             if (age > server.respTime) {
                 values[count++] = age;
             }
@@ -390,12 +403,13 @@
         arrived = 0;
         kinds.values().forEach(Pool::clear);
         for (Server server : servers.values()) {
-            if (server.unanswered >= SILENT && now - server.unansweredSince > DOWN_AFTER && !server.down) {
+            long silent = now - ownBehind - server.unansweredSince;
+            if (server.unanswered >= SILENT && silent > DOWN_AFTER && !server.down) {
                 markDown(now, server);
             }
             measure(now, server);
             long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook).findFirst()
-                    .map(a -> now - a.sentAt).orElse(0L);
+                    .map(a -> now - ownBehind - a.sentAt).orElse(0L);
             if (oldest > waiting(now, server)) {
                 setWait(now, server, oldest);
             }
@@ -661,7 +675,11 @@
     }
 
     private double filled(long now, Server server) {
-        return (waiting(now, server) / tightestAim - QUEUE_AC) / (QUEUE_FULL - QUEUE_AC);
+        return filled(waiting(now, server));
+    }
+
+    private double filled(double wait) {
+        return (wait / tightestAim - QUEUE_AC) / (QUEUE_FULL - QUEUE_AC);
     }
 
     /** Takes the shortest of every few answers; a shorter one counts at once. */
@@ -684,14 +702,17 @@
         return Math.max(0, server.wait - (now - server.waitAt));
     }
 
-    /** What is beyond a share first, up to FIRST that alone. Then new keys, rising; remembered ones only when
+    /** What the gateway itself is late by fills the aim as a server's queue does, on the way there and back.
+        What is beyond a share first, up to FIRST that alone. Then new keys, rising; remembered ones only when
         refusing all new ones isn't enough. */
     private boolean refuses(long now, Held req, Share share, boolean remembered, Server server) {
         boolean over = share != null && !req.within;
-        double pressure = pressure(now, server);
-        double own = share == null ? pressure : Math.max(0, (pressure - FIRST) / (1 - FIRST));
-        double chance = over ? OVER * pressure : remembered ? 2 * own - 1 : 2 * own;
+        double own = Math.min(1, filled(2 * ownStanding));
+        double pressure = Math.max(pressure(now, server), own);
+        double rest = share == null ? pressure : Math.max(0, (pressure - FIRST) / (1 - FIRST));
+        double chance = over ? OVER * pressure : remembered ? 2 * rest - 1 : 2 * rest;
         if (chance > 0 && random.nextDouble() < chance * (1.2 - 0.4 * req.type.worth() / mostWorth)) {
+            req.why = over ? Why.SHARE : own > 0 && own >= filled(now, server) ? Why.GATEWAY : Why.HOSTS;
             return true;
         }
         if (share != null && !over) {
@@ -795,7 +816,8 @@
                 || req.type.repeat() == Repeat.KEYED && req.type.group() == Group.ALL
                 || req.attempts.stream().allMatch(a -> a.neverRan);
         if (harmless) {
-            actions.refuse(req.id, settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0);
+            long after = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
+            actions.refuse(req.id, after, req.why);
         } else {
             actions.fail(req.id);
         }
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -52,6 +52,9 @@
         }
     }
 
+    /** What a refusal comes of: the hosts, the tenant's share, or the gateway itself, which can't keep up. */
+    enum Why { HOSTS, SHARE, GATEWAY }
+
     /** What the weights of the list mean: nothing, registered size, rough size, size over present load. */
     enum Weights { OFF, NOMINAL, ROUGH, LIVE }
 
@@ -136,7 +139,7 @@
         void cancel(long id, int attempt);
 
         /** Final answer: refused, and a new try does no harm. */
-        void refuse(long id, long retryAfter);
+        void refuse(long id, long retryAfter, Why why);
 
         /** Final answer: failed, with no claim about its effect. */
         void fail(long id);
@@ -169,13 +172,17 @@
     /** A server list or its changes; FAILED carries no hosts. */
     void hosts(long now, ListForm form, List<Host> hosts);
 
+    /** How late the gateway itself is; told ahead of events that tell of hosts' time. Whatever comes to it has to wait
+        {@code standing} at least, and what came in the last {@code behind} has not been told yet. */
+    default void own(long now, long standing, long behind) { }
+
     /** A client's request has come in; it is owed exactly one final answer. */
     void request(long now, Request request);
 
     /** The answer to an attempt has begun to stream; the attempt belongs to the client now. */
     void streaming(long now, long id, int attempt);
 
-    /** An attempt ended; {@code over} if the request has ended, by this outcome or earlier. */
+    /** An attempt ended; {@code elapsed} without what the gateway itself was late by, as far as that is known; {@code over} if the request has ended, by this outcome or earlier. */
     void resolved(long now, long id, int attempt, String address, Outcome outcome, long elapsed,
             boolean over, LoadReport report);
 
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -92,6 +92,7 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         boolean streaming;
         boolean within;  // its tenant's share
+        Balancer.Why why = Balancer.Why.HOSTS;
 
         Held(Balancer.Request request, Balancer.RequestClass type, int cls, long key, long now) {
             id = request.id();
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -8,6 +8,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import mastdrift.Balancer;
+import mastdrift.Balancer.Why;
+import mastdrift.lateness.Turns;
 
 /** The ledger of requests and attempts, whatever their protocol and pool: one life and one final answer a request, and
     events one after the other. Everything happens on the loop's thread. */
@@ -17,22 +19,37 @@
     private static final long MARGIN = 5_000;
     // A request still open so long after the module's time for it is failed, whatever the module thinks.
     private static final long BACKSTOP = 2_000;
+    // Of the 250 ms in which a drain has to be heard. What may have waited for longer waits until all that came is read: a
+    // list may be behind it.
+    private static final long LATE = 100_000;
+    // A standing queue of the gateway's own is said from here on, once in a while.
+    private static final long LATE_SAID = 50_000;
+    private static final long SAID_EVERY = 10_000_000;
 
     private final Timers timers;
     private final Clock clock;
+    private final Turns turns;
     private final int openMost;
     private final Consumer<String> log;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final ServiceCount count = new ServiceCount();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private boolean inEvent;
+    private boolean deferred;
+    private long saidAt = -SAID_EVERY;
     private long nextId = 1;
     private int open;
 
-    /** Holds {@code openMost} requests that are not answered; its timers come on the thread that drives it. */
+    /** Holds {@code openMost} requests that are not answered; its timers come on the thread that drives it, which is never late. */
     public Ledger(Timers timers, Clock clock, int openMost, Consumer<String> log) {
+        this(timers, clock, new Turns(), openMost, log);
+    }
+
+    /** Likewise, on a loop that is as late as its turns say. */
+    public Ledger(Timers timers, Clock clock, Turns turns, int openMost, Consumer<String> log) {
         this.timers = timers;
         this.clock = clock;
+        this.turns = turns;
         this.openMost = openMost;
         this.log = log;
     }
@@ -42,6 +59,12 @@
         return clock.now();
     }
 
+    /** Since when at the earliest what is being handled now may have waited for the loop, in microseconds. */
+    public long arrived() {
+        long now = now();
+        return now - turns.own(now);
+    }
+
     /** Final answers so far. */
     public ServiceCount count() {
         return count;
@@ -52,6 +75,10 @@
         return open;
     }
 
+    Turns turns() {
+        return turns;
+    }
+
     Timers timers() {
         return timers;
     }
@@ -69,27 +96,43 @@
         long kept = ask.left() - MARGIN;
         if (open >= Math.min(openMost, pool.settings().limits().maxOpen())) {
             call.release();
-            count.refused(ask.className());
+            count.refused(ask.className(), Why.GATEWAY);
             client.refused(pool.settings().limits().maxRetryAfter());
             return null;
         }
         if (kept <= 0) {
             call.release();
-            count.failed(ask.className());
-            client.failed(true);
+            if (turns.own(now()) > MARGIN) {  // its time may be up: it waited here, and a new try does no harm
+                count.refused(ask.className(), Why.GATEWAY);
+                client.refused(pool.settings().limits().maxRetryAfter());
+            } else {
+                count.failed(ask.className());
+                client.failed(true);
+            }
             return null;
         }
+        sayLate();
         Exchange exchange = new Exchange(nextId++, pool, client, call, ask.className());
         open++;
         pool.began();
         exchanges.put(exchange.id, exchange);
         exchange.backstop = timers.after(kept + BACKSTOP, () -> overdue(exchange));
-        event(exchange, now -> pool.module().request(now, new Balancer.Request(exchange.id, ask.className(), ask.tenant(),
-                ask.key(), kept, ask.work(), ask.repeated(), ask.write())));
+        event(exchange, now -> {
+            pool.own(now);
+            pool.module().request(now, new Balancer.Request(exchange.id, ask.className(), ask.tenant(), ask.key(), kept,
+                    ask.work(), ask.repeated(), ask.write()));
+        });
         return exchange.ended ? null : exchange;
     }
 
-    // ---- events: one after the other, never one inside another
+    private void sayLate() {
+        if (turns.standing() >= LATE_SAID && now() - saidAt >= SAID_EVERY) {
+            saidAt = now();
+            log("the gateway itself is late: whatever comes waits " + turns.standing() / 1000 + " ms at least");
+        }
+    }
+
+    // ---- events: one after the other, never one inside another, and none on what may be out of date
 
     void event(Exchange exchange, LongConsumer event) {
         events.add(() -> {
@@ -103,9 +146,21 @@
                 }
             }
         });
-        if (inEvent) {
+        if (inEvent || deferred) {
             return;
         }
+        if (turns.own(now()) > LATE) {
+            deferred = true;
+            timers.after(1, () -> {  // timers come once all that is there has been read
+                deferred = false;
+                play();
+            });
+        } else {
+            play();
+        }
+    }
+
+    private void play() {
         inEvent = true;
         try {
             for (Runnable next = events.poll(); next != null; next = events.poll()) {
@@ -124,9 +179,9 @@
         exchange.client.served(answer);
     }
 
-    void refuse(Exchange exchange, long retryAfter) {
+    void refuse(Exchange exchange, long retryAfter, Why why) {
         finish(exchange);
-        count.refused(exchange.className);
+        count.refused(exchange.className, why);
         exchange.client.refused(retryAfter);
     }
 
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -6,12 +6,16 @@
 import mastdrift.Balancer.LoadReport;
 import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Settings;
+import mastdrift.Balancer.Why;
 
 /** A list of hosts, the one module that decides on them, and the transport to them. Drives the module: hands it events and
     carries out what it asks. Everything happens on the loop's thread. */
 public final class Pool implements Balancer.Actions {
 
     private static final Transport.Attempt NOT_SENT = () -> { };
+    // What is left of a host's time where all of it may have passed here: as exact as need be, and not nothing, since
+    // hosts are compared by parts of what is usual.
+    private static final long LEAST = 1_000;
 
     private final String name;
     private final Ledger ledger;
@@ -67,9 +71,9 @@
         }
     }
 
-    /** Hosts, or changes of them, told just now: in force once this returns. */
+    /** Hosts, or changes of them, that have just been read: in force once this returns. */
     public void learn(ListForm form, List<Member> members) {
-        learn(form, members, ledger.now());
+        learn(form, members, ledger.arrived());
     }
 
     /** Likewise, told at a moment that has passed: drains count from it. */
@@ -93,18 +97,51 @@
         }
     }
 
-    private void resolved(Exchange exchange, int number, String uid, long sentAt, Outcome outcome, Answer answer,
-            LoadReport report) {
-        long elapsed = ledger.now() - sentAt;
-        exchange.late = outcome == Outcome.EXPIRED;
-        if (outcome == Outcome.DELIVERED && !exchange.ended) {
-            ledger.served(exchange, answer);
+    /** Tells the module how late the loop is, ahead of what may be judged by it. */
+    void own(long now) {
+        module.own(now, ledger.turns().standing(), ledger.turns().behind(now));
+    }
+
+    /** An attempt: what of its time was this program's own, and its end. */
+    private final class Sending implements Transport.Ended {
+
+        private final Exchange exchange;
+        private final int number;
+        private final String uid;
+        private final long sentAt = ledger.now();
+        private long own;
+
+        Sending(Exchange exchange, String uid) {
+            this.exchange = exchange;
+            this.uid = uid;
+            number = exchange.attempts.size();
+        }
+
+        @Override
+        public void step() {
+            long now = ledger.now();
+            own += Math.min(ledger.turns().own(now), now - sentAt);
+        }
+
+        @Override
+        public void ended(Outcome outcome, Answer answer, LoadReport report) {
+            long now = ledger.now();
+            long all = now - sentAt;
+            own += outcome == Outcome.EXPIRED ? ledger.turns().behind(now) : ledger.turns().own(now);
+            long elapsed = Math.max(all - own, Math.min(all, LEAST));
+            exchange.late = outcome == Outcome.EXPIRED;
+            if (outcome == Outcome.DELIVERED && !exchange.ended) {
+                ledger.served(exchange, answer);
+            }
+            // Most of the time the loop wasn't looking: that the host was late isn't known. It may have run all the same.
+            Outcome told = outcome == Outcome.EXPIRED && 2 * own > all ? Outcome.REVOKED : outcome;
+            ledger.event(exchange, at -> {
+                exchange.out--;
+                ledger.forget(exchange);
+                own(at);
+                module.resolved(at, exchange.id, number, uid, told, elapsed, exchange.ended, report);
+            });
         }
-        ledger.event(exchange, now -> {
-            exchange.out--;
-            ledger.forget(exchange);
-            module.resolved(now, exchange.id, number, uid, outcome, elapsed, exchange.ended, report);
-        });
     }
 
     // ---- actions
@@ -112,11 +149,8 @@
     @Override
     public void send(long id, String uid, long timeout) {
         Exchange exchange = ledger.find(id);
-        int number = exchange.attempts.size();
-        long sentAt = ledger.now();
-        Transport.Ended ended = (outcome, answer, report) ->
-                resolved(exchange, number, uid, sentAt, outcome, answer, report);
-        if (exchange.ended || number >= settings.limits().maxAttempts()) {
+        Sending ended = new Sending(exchange, uid);
+        if (exchange.ended || ended.number >= settings.limits().maxAttempts()) {
             exchange.attempts.add(NOT_SENT);
             ended.ended(Outcome.UNUSED, null, LoadReport.NONE);
         } else {
@@ -134,10 +168,10 @@
     }
 
     @Override
-    public void refuse(long id, long retryAfter) {
+    public void refuse(long id, long retryAfter, Why why) {
         Exchange exchange = ledger.find(id);
         if (exchange != null && !exchange.ended) {
-            ledger.refuse(exchange, retryAfter);
+            ledger.refuse(exchange, retryAfter, why);
         }
     }
 
@@ -153,7 +187,10 @@
     public void timer(long at, String handle) {
         ledger.timers().after(Math.max(1, at - ledger.now()), () -> {
             if (!closed || living > 0) {  // or the module of a pool that is gone would go on for good
-                ledger.event(null, now -> module.timer(now, handle));
+                ledger.event(null, now -> {
+                    own(now);
+                    module.timer(now, handle);
+                });
             }
         });
     }
@@ -162,7 +199,8 @@
     public void probe(String uid) {
         long sentAt = ledger.now();
         transport.probe(uid, (outcome, report) -> {
-            long elapsed = ledger.now() - sentAt;
+            long all = ledger.now() - sentAt;
+            long elapsed = Math.max(all - ledger.turns().own(ledger.now()), Math.min(all, LEAST));
             ledger.event(null, now -> module.probed(now, uid, outcome, elapsed, report));
         });
     }
--- a/src/main/java/mastdrift/engine/ServiceCount.java
+++ b/src/main/java/mastdrift/engine/ServiceCount.java
@@ -1,8 +1,10 @@
 package mastdrift.engine;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import mastdrift.Balancer.Why;
 
 /** Final answers by class. Read and written on the loop's thread. */
 public final class ServiceCount {
@@ -10,7 +12,7 @@
     /** How requests of one class ended; {@code failed} includes those whose time was up. */
     public static final class Of {
         private long served;
-        private long refused;
+        private final long[] refused = new long[Why.values().length];
         private long failed;
 
         /** Requests answered with a host's answer. */
@@ -20,7 +22,12 @@
 
         /** Requests turned away: a new try is harmless. */
         public long refused() {
-            return refused;
+            return Arrays.stream(refused).sum();
+        }
+
+        /** Those of them that were turned away for this. */
+        public long refused(Why why) {
+            return refused[why.ordinal()];
         }
 
         /** Requests that failed, with no claim about their effect. */
@@ -50,8 +57,8 @@
         of(className).served++;
     }
 
-    void refused(String className) {
-        of(className).refused++;
+    void refused(String className, Why why) {
+        of(className).refused[why.ordinal()]++;
     }
 
     void failed(String className) {
--- a/src/main/java/mastdrift/engine/Transport.java
+++ b/src/main/java/mastdrift/engine/Transport.java
@@ -12,6 +12,9 @@
     interface Ended {
         /** The answer is null where the host gave none. */
         void ended(Outcome outcome, Answer answer, LoadReport report);
+
+        /** A step ahead of the end has come about that this program may have noticed late: a connection, say. */
+        default void step() { }
     }
 
     /** Hears how a probe ended, exactly once. */
--- a/src/main/java/mastdrift/lab/model/Baseline.java
+++ b/src/main/java/mastdrift/lab/model/Baseline.java
@@ -114,7 +114,7 @@
     private void end(Open taken) {
         open.remove(taken.request.id());
         if (!taken.mayHaveRun || taken.type.repeat() == Repeat.SAFE) {
-            actions.refuse(taken.request.id(), 0);
+            actions.refuse(taken.request.id(), 0, Why.HOSTS);
         } else {
             actions.fail(taken.request.id());
         }
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -194,6 +194,7 @@
         }
     }
 
+    /** A request, and since when it may have waited. */
     private record Arrived(FullHttpRequest message, long at) { }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Client {
@@ -251,7 +252,7 @@
             read = true;
             partSince = 0;
             silent.remove(this);
-            waiting.add(new Arrived(message.retain(), ledger.now()));
+            waiting.add(new Arrived(message.retain(), ledger.arrived()));
             if (waiting.size() > PIPELINED_MOST) {
                 channel.config().setAutoRead(false);
             }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -8,7 +8,6 @@
 import mastdrift.Balancer;
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.RequestClass;
-import mastdrift.engine.Clock;
 import mastdrift.engine.Ledger;
 import mastdrift.engine.Pool;
 import mastdrift.engine.Source;
@@ -23,12 +22,12 @@
     private final Discovery discovery;
 
     /** Starts the module; on the loop's thread. */
-    Gateway(Config config, EventLoop loop, Balancer module, int hostConnections, int openMost, PrintStream out) {
+    Gateway(Config config, TimedLoop timed, Balancer module, int hostConnections, int openMost, PrintStream out) {
         this.out = out;
-        Clock clock = Clock.system();
-        ledger = new Ledger(Timers.of(loop), clock, openMost, this::log);
+        EventLoop loop = timed.loop();
+        ledger = new Ledger(Timers.of(loop), timed.clock(), timed.turns(), openMost, this::log);
         pool = new Pool("hosts", ledger, module, config.settings(),
-                new HttpTransport(loop, clock::now, config.settings(), hostConnections, this::log));
+                new HttpTransport(loop, timed.clock()::now, config.settings(), hostConnections, this::log));
         discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::learn, this::listFailed);
         logList(config.known());
         pool.start(new Source() {
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -63,6 +63,9 @@
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
     interface Ended {
         void ended(Outcome outcome, FullHttpResponse answer);
+
+        /** A connection for it was opened. */
+        default void connected() { }
     }
 
     private static final class Peer {
@@ -178,6 +181,7 @@
             }
             dialled.channel().closeFuture().addListener(closed -> connections--);
             if (!attempt.over) {
+                attempt.ended.connected();
                 Connection connection = dialled.channel().pipeline().get(Connection.class);
                 connection.peer = peer;
                 connection.at = at;
--- a/src/main/java/mastdrift/net/HttpTransport.java
+++ b/src/main/java/mastdrift/net/HttpTransport.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -12,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import mastdrift.Balancer.LoadReport;
+import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Reports;
 import mastdrift.Balancer.Settings;
 import mastdrift.engine.Call;
@@ -37,10 +39,18 @@
 
     @Override
     public Attempt send(String uid, Call call, long timeout, Ended ended) {
-        return hosts.send(uid, onward(((HttpCall) call).message()), timeout, (outcome, answer) -> {
-            boolean given = answer != null && reports == Reports.INLINE;
-            ended.ended(outcome, answer == null ? null : new HttpAnswer(answer),
-                    given ? LoadReports.parse(answer.headers().get("Endpoint-Load-Metrics")) : LoadReport.NONE);
+        return hosts.send(uid, onward(((HttpCall) call).message()), timeout, new HostPool.Ended() {
+            @Override
+            public void ended(Outcome outcome, FullHttpResponse answer) {
+                boolean given = answer != null && reports == Reports.INLINE;
+                ended.ended(outcome, answer == null ? null : new HttpAnswer(answer),
+                        given ? LoadReports.parse(answer.headers().get("Endpoint-Load-Metrics")) : LoadReport.NONE);
+            }
+
+            @Override
+            public void connected() {
+                ended.step();
+            }
         });
     }
 
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.OutputStream;
@@ -38,14 +36,15 @@
         LIBRARY_LOG.setLevel(Level.OFF);
         // Netty would look for other logging libraries, which are there for the other commands, and load what it finds.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        EventLoop loop = loop();
+        TimedLoop timed = TimedLoop.start();
+        EventLoop loop = timed.loop();
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         // First of all, or the signal would end the program. One that comes during the start is heard after it.
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
-            rehearse(config, loop(), System.out::println);
-            Started now = start(config, loop, System.out);
+            rehearse(config, TimedLoop.start(), System.out::println);
+            Started now = start(config, timed, System.out);
             ClientSide clients = now.clients();
             started.complete(now.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
@@ -56,12 +55,12 @@
         }
     }
 
-    static void rehearse(Config config, EventLoop on, Consumer<String> log) {
+    static void rehearse(Config config, TimedLoop on, Consumer<String> log) {
         PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
-        Rehearsal.play((loop, hosts, at) -> Started.with(new Config(at, at, config.sockets(), new HostList(0, true, hosts),
-                config.settings()), loop, hosts.size() * 2, hosts.size(), hosts.size(), silent).clients(),
+        Rehearsal.play((hosts, at) -> Started.with(new Config(at, at, config.sockets(), new HostList(0, true, hosts),
+                config.settings()), on, hosts.size() * 2, hosts.size(), hosts.size(), silent).clients(),
                 config.settings().classes(), config.settings().tenants(), config.settings().site().zone(),
-                config.listen().getAddress(), on, log);
+                config.listen().getAddress(), on.loop(), log);
     }
 
     /** The only way to hear a signal that is not the end of the program; javac warns of the package, whatever is asked. */
@@ -79,27 +78,23 @@
         }
     }
 
-    static EventLoop loop() {
-        return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    }
-
     /** A gateway and its front. */
     record Started(Gateway gateway, ClientSide clients) {
 
         /** On the loop's thread. */
-        static Started with(Config config, EventLoop loop, int hostConnections, int openMost, int clients, PrintStream out) {
+        static Started with(Config config, TimedLoop loop, int hostConnections, int openMost, int clients, PrintStream out) {
             Gateway gateway = new Gateway(config, loop, new Balance(), hostConnections, openMost, out);
-            return new Started(gateway, new ClientSide(loop, gateway.ledger(), gateway, config.settings().classes(),
+            return new Started(gateway, new ClientSide(loop.loop(), gateway.ledger(), gateway, config.settings().classes(),
                     config.settings().tenants(), clients, gateway::log));
         }
     }
 
     /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
-    static Started start(Config config, EventLoop loop, PrintStream out) {
+    static Started start(Config config, TimedLoop loop, PrintStream out) {
         // Of the clients' half, an eighth is for answering those that come beyond the requests held.
         int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
         Started started = CompletableFuture.supplyAsync(
-                () -> Started.with(config, loop, most, most - most / 8, most, out), loop).join();
+                () -> Started.with(config, loop, most, most - most / 8, most, out), loop.loop()).join();
         ChannelFuture bound = started.clients().listen(config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IllegalArgumentException("no listening on " + config.listen() + ": " + bound.cause().getMessage(),
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -42,9 +42,9 @@
 
     /** Makes the second gateway. */
     public interface Stage {
-        /** Its front, not yet listening; on the loop's thread. The hosts are all at {@code at}, which stands in for a discovery
+        /** Its front, not yet listening; on the thread of the loop that it is played on. The hosts are all at {@code at}, which stands in for a discovery
             that is down too. */
-        ClientSide open(EventLoop loop, List<Member> hosts, InetSocketAddress at);
+        ClientSide open(List<Member> hosts, InetSocketAddress at);
     }
 
     private static final int REQUESTS = 800;
@@ -70,7 +70,7 @@
             InetSocketAddress at = (InetSocketAddress) host.localAddress();
             List<Member> hosts = IntStream.range(0, HOSTS).mapToObj(i -> new Member(
                     new Host("rehearsal-" + i, zone, 0, "", 1, Health.UP, 0), at)).toList();
-            ClientSide clients = CompletableFuture.supplyAsync(() -> stage.open(loop, hosts, at), loop).join();
+            ClientSide clients = CompletableFuture.supplyAsync(() -> stage.open(hosts, at), loop).join();
             clients.listen(any).sync();
             ask(clients.address(), classes, tenants);
         } catch (IOException e) {
--- /dev/null
+++ b/src/main/java/mastdrift/net/TimedLoop.java
@@ -0,0 +1,127 @@
+package mastdrift.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import mastdrift.engine.Clock;
+import mastdrift.lateness.Turns;
+
+/** An event loop that knows its own lateness, and the clock that goes with it. */
+public record TimedLoop(EventLoop loop, Clock clock, Turns turns) {
+
+    // What changes in less than that is not worth a look at the run queue.
+    private static final long LOOK = 1_000;
+
+    /** Starts one. */
+    public static TimedLoop start() {
+        Clock clock = Clock.system();
+        Turns turns = new Turns();
+        return new TimedLoop(new MultiThreadIoEventLoopGroup(1, executor ->
+                new Timed(NioIoHandler.newFactory().newHandler(executor), clock, turns)).next(), clock, turns);
+    }
+
+    /** Tells of turns. The library's handler asks whether its time is measured once it is back from the selector and before it
+        handles what is ready, which is the one moment of the two that it shows to nobody else. */
+    private static final class Timed implements IoHandler, IoHandlerContext {
+
+        private final IoHandler handler;
+        private final Clock clock;
+        private final Turns turns;
+        private final RunQueue runQueue = new RunQueue();
+        private IoHandlerContext context;
+        private long waitsSince;
+        private long lookedAt;
+        private long looked;
+
+        Timed(IoHandler handler, Clock clock, Turns turns) {
+            this.handler = handler;
+            this.clock = clock;
+            this.turns = turns;
+        }
+
+        @Override
+        public void initialize() {
+            runQueue.open();
+            handler.initialize();
+        }
+
+        @Override
+        public int run(IoHandlerContext given) {
+            context = given;
+            long now = clock.now();
+            if (now - lookedAt >= LOOK) {
+                look(now);
+                now = clock.now();
+            }
+            waitsSince = now;
+            turns.waits(now);
+            int handled = handler.run(this);
+            turns.handled();
+            return handled;
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            long now = clock.now();
+            long before = looked;
+            turns.back(now, now - waitsSince >= LOOK ? look(now) - before : 0);
+            return context.shouldReportActiveIoTime();
+        }
+
+        private long look(long now) {
+            lookedAt = now;
+            looked = runQueue.micros();
+            return looked;
+        }
+
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return context.delayNanos(currentTimeNanos);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            context.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            runQueue.close();
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return handler.isCompatible(handleType);
+        }
+    }
+}
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -169,7 +169,7 @@
         }
         ledger.take(pool, reply, new RadiusCall(request, client.secret(),
                 held == null ? null : held.uid()), new Ask(className, client.tenant(), key,
-                accounting ? classes.accountingTime : classes.accessTime, false, accounting, 0));
+                (accounting ? classes.accountingTime : classes.accessTime) - (ledger.now() - ledger.arrived()), false, accounting, 0));
     }
 
     /** Its Proxy-States go back in their order (RFC 2865, 5.33). */
--- a/src/main/java/mastdrift/serve/Control.java
+++ b/src/main/java/mastdrift/serve/Control.java
@@ -126,8 +126,8 @@
 
     // ---- other sources
 
-    /** Discovery told nodes of a pool; from the loop, and never waits. */
-    void told(String pool, boolean all, List<Node> nodes) {
+    /** Discovery told nodes of a pool, not before {@code at}; from the loop, and never waits. */
+    void told(String pool, boolean all, List<Node> nodes, long at) {
         synchronized (told) {
             Told pending = told.computeIfAbsent(pool, p -> new Told());
             if (all) {
@@ -137,7 +137,7 @@
             nodes.forEach(node -> pending.nodes.put(node.uid(), node));
             if (!pending.waiting) {
                 pending.waiting = true;
-                pending.at = clock.getAsLong();
+                pending.at = at;
                 thread.execute(() -> merge(pool, pending));
             }
         }
--- a/src/main/java/mastdrift/serve/DiscoverySource.java
+++ b/src/main/java/mastdrift/serve/DiscoverySource.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import mastdrift.Balancer.Host;
 import mastdrift.engine.Member;
 import mastdrift.membership.Node;
@@ -23,12 +24,15 @@
     private final EventLoop loop;
     private final String pool;
     private final Control control;
+    private final LongSupplier arrived;
     private final Consumer<String> log;
     private final Discovery discovery;
     private long pause = PAUSE_LEAST;
     private boolean closed;
 
-    DiscoverySource(EventLoop loop, String pool, InetSocketAddress at, Control control, Consumer<String> log) {
+    /** {@code arrived} tells when what is read now may have come, in microseconds. */
+    DiscoverySource(EventLoop loop, String pool, InetSocketAddress at, Control control, LongSupplier arrived, Consumer<String> log) {
+        this.arrived = arrived;
         this.loop = loop;
         this.pool = pool;
         this.control = control;
@@ -39,7 +43,7 @@
     private void heard(HostList list) {
         pause = PAUSE_LEAST;
         if (!closed) {
-            control.told(pool, list.all(), list.entries().stream().map(DiscoverySource::node).toList());
+            control.told(pool, list.all(), list.entries().stream().map(DiscoverySource::node).toList(), arrived.getAsLong());
         }
     }
 
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpRequest;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -54,6 +52,7 @@
 import mastdrift.net.ClientSide;
 import mastdrift.net.HttpTransport;
 import mastdrift.net.Rehearsal;
+import mastdrift.net.TimedLoop;
 import mastdrift.radius.Authenticators;
 import mastdrift.radius.Resends;
 import mastdrift.radius.edge.Drops;
@@ -91,10 +90,11 @@
 
     private final Path file;
     private final Events events;
-    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final Clock clock = Clock.system();
+    private final TimedLoop timed = TimedLoop.start();
+    private final EventLoop loop = timed.loop();
+    private final Clock clock = timed.clock();
     private final SplittableRandom seeds = new SplittableRandom();
-    private final Ledger ledger = new Ledger(Timers.of(loop), clock, OPEN_MOST, this::log);
+    private final Ledger ledger = new Ledger(Timers.of(loop), clock, timed.turns(), OPEN_MOST, this::log);
     private final Router router = new Router(Router.PINS_MOST);
     private final Map<String, Served> pools = new HashMap<>();
     private final Control control = new Control(new Loop(), clock::now);
@@ -160,15 +160,17 @@
             return;
         }
         Settings module = settings(started, first);
-        Rehearsal.play((own, hosts, at) -> {
-            Ledger rehearsed = new Ledger(Timers.of(own), clock, OPEN_MOST, this::log);
+        TimedLoop on = TimedLoop.start();
+        EventLoop own = on.loop();
+        Rehearsal.play((hosts, at) -> {
+            Ledger rehearsed = new Ledger(Timers.of(own), on.clock(), on.turns(), OPEN_MOST, this::log);
             Pool pool = new Pool("rehearsal", rehearsed, new Balance(), module,
-                    new HttpTransport(own, clock::now, module, first.connections(), line -> { }));
+                    new HttpTransport(own, on.clock()::now, module, first.connections(), line -> { }));
             pool.start(Source.TELLS, hosts);
             return new ClientSide(own, rehearsed, (type, tenant, message, key) -> pool, started.classes(), started.tenants(),
                     gateway.connections(), line -> { });
         }, started.classes(), started.tenants(), gateway.zone(), Addresses.parse(gateway.listen()).getAddress(),
-                new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(), this::log);
+                own, this::log);
     }
 
     private void listen() {
@@ -308,7 +310,8 @@
                 : new HttpTransport(loop, clock::now, module, settings.connections(), this::log);
         Pool pool = new Pool(settings.name(), ledger, new Balance(), module, transport);
         DiscoverySource discovery = settings.discovery() == null ? null
-                : new DiscoverySource(loop, settings.name(), Addresses.parse(settings.discovery()), control, this::log);
+                : new DiscoverySource(loop, settings.name(), Addresses.parse(settings.discovery()), control, ledger::arrived,
+                        this::log);
         pool.start(Source.TELLS, List.of());
         if (discovery != null) {
             discovery.watch(true);
--- a/src/main/java/mastdrift/wire/Adapter.java
+++ b/src/main/java/mastdrift/wire/Adapter.java
@@ -301,7 +301,7 @@
         }
 
         @Override
-        public void refuse(long id, long retryAfter) {
+        public void refuse(long id, long retryAfter, Balancer.Why why) {
             line("decline").append(id).append(' ').append(retryAfter).append('\n');
         }
 
--- a/src/test/java/mastdrift/AdmissionTest.java
+++ b/src/test/java/mastdrift/AdmissionTest.java
@@ -7,6 +7,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Who is refused in an overload. Aim 300 ms, deadline 1 s. */
 class AdmissionTest {
@@ -163,4 +165,47 @@
             gateway.end(send, Outcome.DELIVERED, send.address().startsWith(prefix) ? elapsed : 20_000);
         }
     }
+
+    /** The gateway's own standing queue, with idle hosts: refusals rise as at a host's queue, name the gateway, and go with it. */
+    @ParameterizedTest
+    @CsvSource({"0,0,0", "20000,0,0", "30000,20,90", "150000,200,200"})
+    void aGatewayThatCantKeepUpTurnsAwayByItsOwnQueue(long standing, int least, int most) {
+        Gateway gateway = new Gateway().start(4);
+        warmUp(gateway, 400, 20_000);
+        gateway.whys.clear();
+        gateway.module.own(gateway.now, standing, 0);
+        gateway.serve(200, 5_000, 5_000);
+        assertTrue(gateway.whys.size() >= least && gateway.whys.size() <= most, "refused " + gateway.whys.size());
+        assertTrue(gateway.whys.stream().allMatch(Balancer.Why.GATEWAY::equals), gateway.whys.toString());
+        gateway.whys.clear();
+        gateway.module.own(gateway.now, 0, 0);
+        gateway.serve(200, 5_000, 5_000);
+        assertEquals(0, gateway.whys.size());
+    }
+
+    /** What this gateway can't read the answer of in time is turned away at once, unsent. */
+    @Test
+    void aRequestThatTheGatewayItselfIsTooLateForIsNotSent() {
+        Gateway gateway = new Gateway().start(4);
+        gateway.module.own(gateway.now, 20_000, 0);
+        gateway.request("read", null, 1L, 20_000);
+        assertEquals(0, gateway.sent.size());
+        assertEquals(java.util.List.of(Balancer.Why.GATEWAY), gateway.whys);
+        gateway.request("read", null, 1L, 21_000);
+        assertEquals(1, gateway.sent.size());
+    }
+
+    /** Answers that may lie unread don't make hosts look silent; those that should have been read do. */
+    @ParameterizedTest
+    @CsvSource({"0,true", "3000000,false"})
+    void whatIsUnreadIsNotSilence(long behind, boolean silent) {
+        Gateway gateway = new Gateway().start(1);
+        warmUp(gateway, 100, 20_000);
+        for (int i = 0; i < 5; i++) {
+            gateway.request("read", null, 100L + i, 60_000_000);
+        }
+        gateway.module.own(gateway.now, 0, behind);
+        gateway.advance(2_000_000);
+        assertEquals(!silent, gateway.probes.isEmpty(), "who is silent is probed");
+    }
 }
--- a/src/test/java/mastdrift/Gateway.java
+++ b/src/test/java/mastdrift/Gateway.java
@@ -44,6 +44,7 @@
     final List<String> cancelled = new ArrayList<>();
     final List<String> probes = new ArrayList<>();
     final List<Long> retryAfters = new ArrayList<>();
+    final List<Balancer.Why> whys = new ArrayList<>();
     final List<String> closed = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
     int watches;
@@ -176,7 +177,8 @@
     }
 
     @Override
-    public void refuse(long id, long after) {
+    public void refuse(long id, long after, Balancer.Why why) {
+        whys.add(why);
         refused.add("" + id);
         retryAfters.add(after);
     }
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -40,7 +40,8 @@
     @TempDir
     private Path folder;
 
-    private final EventLoop loop = Main.loop();
+    private final TimedLoop timed = TimedLoop.start();
+    private final EventLoop loop = timed.loop();
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
     private final List<String> events = new CopyOnWriteArrayList<>();
@@ -72,6 +73,9 @@
     private void take(long left, BiConsumer<Balancer.Actions, Long> onRequest) throws Exception {
         Balancer module = (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
                 new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("own")) {
+                        return null;
+                    }
                     events.add(method.getName());
                     if (method.getName().equals("start")) {
                         actions = (Balancer.Actions) arguments[2];
@@ -84,7 +88,7 @@
         try (Server discovery = discovery()) {
             Config config = Config.read(environment(folder, discovery, list(1, true), SETTINGS));
             loop.submit(() -> {
-                Gateway gateway = new Gateway(config, loop, module, 8, 8,
+                Gateway gateway = new Gateway(config, timed, module, 8, 8,
                         new PrintStream(log, true, StandardCharsets.UTF_8));
                 gateway.ledger().take(gateway.pool(null, null, null, null), client, new HttpCall(
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api")),
@@ -123,7 +127,7 @@
     void aSecondAnswerIsPassedOverAndNothingIsSentAfterTheFirst() throws Exception {
         take(60_000_000, (asked, id) -> {
             asked.send(id, "unknown", 1_000_000);
-            asked.refuse(id, 0);
+            asked.refuse(id, 0, Balancer.Why.HOSTS);
             asked.fail(id);
             asked.send(id, "unknown", 1_000_000);
         });
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -38,7 +38,7 @@
     private static final long GRACE = 250_000;
     private static final long LONG = 60_000_000;
 
-    private final EventLoop loop = Main.loop();
+    private final EventLoop loop = TimedLoop.start().loop();
     private final AtomicLong clock = new AtomicLong(1_000_000);
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private Server one;
--- /dev/null
+++ b/src/test/java/mastdrift/net/LatenessTest.java
@@ -0,0 +1,234 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.answer;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.tell;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import mastdrift.Balance;
+import mastdrift.Balancer;
+import mastdrift.Balancer.Outcome;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Script;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A gateway whose loop is held up, by tasks that do nothing: what is its own, what is the hosts', and the rules meanwhile. */
+class LatenessTest {
+
+    private static final long HOLD = 300_000;
+
+    @TempDir
+    private Path folder;
+
+    /** What the module was told of an attempt: its host, for how long it was out by the clock, and of that the host's part. */
+    private record Told(String uid, Outcome outcome, long all, long elapsed) { }
+
+    /** A gateway around the real module, which a test listens in on. */
+    private final class Held implements AutoCloseable {
+
+        private final TimedLoop timed = TimedLoop.start();
+        private final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+        private final Map<Object, Long> asked = new ConcurrentHashMap<>();
+        private final List<Socket> sockets = new ArrayList<>();
+        private final ClientSide clients;
+
+        Held(Server discovery, String... entries) throws Exception {
+            Config config = Config.read(environment(folder, discovery, list(1, true, entries), SETTINGS));
+            Balancer module = listenedTo(new Balance());
+            clients = timed.loop().submit(() -> {
+                Gateway gateway = new Gateway(config, timed, module, 100, 100,
+                        new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+                return new ClientSide(timed.loop(), gateway.ledger(), gateway, config.settings().classes(),
+                        config.settings().tenants(), 100, line -> { });
+            }).get();
+            clients.listen(new InetSocketAddress("127.0.0.1", 0)).sync();
+        }
+
+        private Balancer listenedTo(Balancer module) {
+            return (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Balancer.class},
+                    (proxy, method, arguments) -> {
+                        if (method.getName().equals("request")) {
+                            asked.put(((Balancer.Request) arguments[1]).id(), (Long) arguments[0]);
+                        } else if (method.getName().equals("resolved")) {
+                            told.add(new Told((String) arguments[3], (Outcome) arguments[4],
+                                    (Long) arguments[0] - asked.get(arguments[1]), (Long) arguments[5]));
+                        }
+                        try {
+                            return method.invoke(module, arguments);
+                        } catch (InvocationTargetException e) {
+                            throw e.getCause();
+                        }
+                    });
+        }
+
+        Socket connect() throws IOException {
+            Socket socket = new Socket();
+            socket.connect(clients.address());
+            socket.setSoTimeout(Loopback.WAIT_SECONDS * 1000);
+            sockets.add(socket);
+            return socket;
+        }
+
+        /** The loop does nothing else for a while from the moment at which this returns. */
+        CountDownLatch hold(long micros) throws InterruptedException {
+            CountDownLatch begun = new CountDownLatch(1);
+            CountDownLatch over = new CountDownLatch(1);
+            timed.loop().execute(() -> {
+                begun.countDown();
+                pause(micros);
+                over.countDown();
+            });
+            assertTrue(begun.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+            return over;
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+            timed.loop().parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    private static void pause(long micros) {
+        for (long until = System.nanoTime() + micros * 1000; System.nanoTime() < until; ) {
+            LockSupport.parkNanos(until - System.nanoTime());
+        }
+    }
+
+    private static String up(String uid, Server host) {
+        return entry(uid, host.address(), "a", "in_service");
+    }
+
+    /** The host answers one request while the loop is held, and the other well after: the first is not blamed, the second is. */
+    @Test
+    void aHoldIsNotTheHostsButItsOwnSlownessIs() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        Script script = message -> {
+            assertTrue(held.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+            pause(message.header("X-Trace-Id").equals("slow") ? 3 * HOLD : HOLD / 10);
+            write(message.socket(), answer("200 OK", "x"));
+        };
+        try (Server discovery = discovery(); Server host = new Server(script); Held gateway = new Held(discovery, up("s1", host))) {
+            Socket quick = gateway.connect();
+            Socket slow = gateway.connect();
+            write(quick, read(20_000).replace("9b1f", "quick"));
+            write(slow, read(20_000).replace("9b1f", "slow"));
+            await(host.received);
+            await(host.received);
+            gateway.hold(HOLD);
+            held.countDown();
+            assertEquals(200, Loopback.read(quick).status());
+            assertEquals(200, Loopback.read(slow).status());
+            Told first = await(gateway.told);
+            Told second = await(gateway.told);
+            assertTrue(first.all() - first.elapsed() >= HOLD * 9 / 10, "the hold is taken off: " + first);
+            assertTrue(second.elapsed() >= HOLD * 2, "what comes after the hold is the host's: " + second);
+        }
+    }
+
+    /** Four fifths of the loop's time are gone, in pieces; the host that takes its time is told from the one that doesn't. */
+    @Test
+    void ofALoopThatHasLittleTimeTheSlowHostIsStillFound() throws Exception {
+        long slowness = 60_000;
+        try (Server discovery = discovery(); Server one = taking(3_000); Server two = taking(slowness);
+                Held gateway = new Held(discovery, up("quick", one), up("slow", two))) {
+            gateway.timed.loop().scheduleWithFixedDelay(() -> pause(20_000), 0, 1_000, TimeUnit.MICROSECONDS);
+            Socket client = gateway.connect();
+            for (int i = 0; i < 60; i++) {
+                write(client, read(20_000).replace("7f3a", "key" + i));
+                assertEquals(200, Loopback.read(client).status());
+            }
+            List<Told> told = new ArrayList<>();
+            gateway.told.drainTo(told);
+            long[] quick = told.stream().filter(t -> t.uid().equals("quick")).mapToLong(Told::elapsed).sorted().toArray();
+            long[] late = told.stream().filter(t -> t.uid().equals("slow")).mapToLong(Told::elapsed).sorted().toArray();
+            long byClock = median(told.stream().filter(t -> t.uid().equals("quick")).mapToLong(Told::all).sorted().toArray());
+            assertTrue(byClock >= 10_000, "by the clock the quick one takes long: " + byClock);
+            assertTrue(median(quick) <= 8_000, "but it isn't told so: " + Arrays.toString(quick));
+            assertTrue(median(late) >= slowness / 2, "the slow one is: " + Arrays.toString(late));
+        }
+    }
+
+    private static Server taking(long micros) throws IOException {
+        return new Server(message -> {
+            pause(micros);
+            write(message.socket(), answer("200 OK", "x"));
+        });
+    }
+
+    private static long median(long[] sorted) {
+        assertTrue(sorted.length > 5, "too few: " + sorted.length);
+        return sorted[sorted.length / 2];
+    }
+
+    /** Whoever's time is up by the end of a hold hears at once; what came during it, with less time than the hold took, is
+        turned away and not sent. */
+    @Test
+    void afterAHoldNobodyWaitsInVain() throws Exception {
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Held gateway = new Held(discovery, up("s1", host))) {
+            Socket out = gateway.connect();
+            Socket coming = gateway.connect();
+            write(out, read((int) HOLD / 3_000).replace("9b1f", "out"));
+            await(host.received);
+            CountDownLatch over = gateway.hold(HOLD);
+            write(coming, read((int) HOLD / 3_000).replace("9b1f", "coming"));
+            assertTrue(over.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+            assertEquals(503, Loopback.read(out).status());
+            assertEquals(503, Loopback.read(coming).status());
+            assertEquals(0, host.received.size(), "nothing more was sent");
+            assertEquals(Outcome.EXPIRED, await(gateway.told).outcome(), "the host had most of that time for itself, or all");
+        }
+    }
+
+    /** The drain came in behind the request, while the loop was held for longer than a drain may take: read in the same turn, the
+        request must not go to the host that drains. */
+    @Test
+    void aDrainToldDuringAHoldIsHeardBeforeAnythingIsSent() throws Exception {
+        try (Server discovery = discovery(); Server host = Loopback.host("x"); Held gateway = new Held(discovery, up("s1", host))) {
+            Socket client = gateway.connect();
+            Socket watch = await(discovery.received).socket();
+            write(client, read(20_000));
+            assertEquals(200, Loopback.read(client).status());
+            await(host.received);
+            gateway.hold(HOLD);
+            write(client, read(20_000));
+            pause(1_000);
+            tell(watch, list(2, false, entry("s1", host.address(), "a", "terminating")));
+            Message refused = Loopback.read(client);
+            assertEquals(503, refused.status());
+            assertEquals(0, host.received.size());
+        }
+    }
+}
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -205,7 +205,8 @@
     /** A gateway in this process. */
     static final class Node implements AutoCloseable {
 
-        final EventLoop loop = Main.loop();
+        private final TimedLoop timed = TimedLoop.start();
+        final EventLoop loop = timed.loop();
         final ByteArrayOutputStream log = new ByteArrayOutputStream();
         final Gateway gateway;
         final ClientSide clients;
@@ -213,7 +214,7 @@
 
         Node(Map<String, String> environment) {
             Main.Started started =
-                    Main.start(Config.read(environment), loop, new PrintStream(log, true, StandardCharsets.UTF_8));
+                    Main.start(Config.read(environment), timed, new PrintStream(log, true, StandardCharsets.UTF_8));
             gateway = started.gateway();
             clients = started.clients();
         }
