Module: refusals by the gateway's own lateness from half of the aim, not as at a host's queue

Cause: refusals began where what comes waits 45 ms of an aim of 600. At a host's queue they begin as soon since another host may be better; for the gateway's own lateness there is no other place, and what is refused would have been in time.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -48,6 +48,8 @@
     private static final double MANY = 0.2;             // of the servers known full: no few bad ones
     private static final double QUEUE_AC = 0.15;        // of the tightest aim: such a queue starts refusals
     private static final double QUEUE_FULL = 0.5;       // of the tightest aim: little more would be in time
+    private static final double OWN_AC = 0.5;           // of the tightest aim: own lateness, refusals begin
+    private static final double OWN_FULL = 1.0;         // of the tightest aim: nothing would be in time
     private static final double OVER = 10;              // times the pressure: refusals beyond a share
     private static final double FIRST = 0.5;            // pressure below which refusals are beyond shares
     private static final double BURST = 6;              // requests a tenant may save up at any size
@@ -675,11 +677,7 @@
     }
 
     private double filled(long now, Server server) {
-        return filled(waiting(now, server));
-    }
-
-    private double filled(double wait) {
-        return (wait / tightestAim - QUEUE_AC) / (QUEUE_FULL - QUEUE_AC);
+        return (waiting(now, server) / tightestAim - QUEUE_AC) / (QUEUE_FULL - QUEUE_AC);
     }
 
     /** Takes the shortest of every few answers; a shorter one counts at once. */
@@ -702,12 +700,14 @@
         return Math.max(0, server.wait - (now - server.waitAt));
     }
 
-    /** What the gateway itself is late by fills the aim as a server's queue does, on the way there and back.
+    /** What the gateway itself is late by counts on the way there and back; unlike a server's queue, another
+        place wouldn't be better, so refusals begin only where it uses up the aim.
         What is beyond a share first, up to FIRST that alone. Then new keys, rising; remembered ones only when
         refusing all new ones isn't enough. */
     private boolean refuses(long now, Held req, Share share, boolean remembered, Server server) {
         boolean over = share != null && !req.within;
-        double own = Math.min(1, filled(2 * ownStanding));
+        double late = 2.0 * ownStanding / tightestAim;
+        double own = Math.min(1, (late - OWN_AC) / (OWN_FULL - OWN_AC));
         double pressure = Math.max(pressure(now, server), own);
         double rest = share == null ? pressure : Math.max(0, (pressure - FIRST) / (1 - FIRST));
         double chance = over ? OVER * pressure : remembered ? 2 * rest - 1 : 2 * rest;
