Connections of clients by phase: nothing but a light handler while silent, fair shedding

Need: each client's connection held a decoder, an aggregator, an encoder and a queue from its first moment to its last, every connection was looked at four times a second, and whoever opened most pushed out others' idle ones.

Change: a pure class keeps connections by phase (silent, part of a request, busy, answer unread, idle, dormant), each with one bound of its own, so that what is overdue is found at the head of a list; room is made by the address with the most connections that wait for nothing, those that never asked first. What reads HTTP comes with the first byte and goes after a second between requests. silent_most, whole_in, unread_most, idle_most in the operator's file; connections up to 1,048,576 there. The platform's bounds stay as they were.

Measured: against plain lists in a property over any course of events; over loopback seven manners of holding on, each closed by its bound while another client is served, and a flood that closes its own.

--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -18,6 +18,7 @@
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Rules;
 import mastdrift.Balancer.Tenant;
+import mastdrift.limits.PhaseBounds;
 import mastdrift.membership.Guards;
 import mastdrift.membership.Guards.Guard;
 import mastdrift.membership.Node;
@@ -107,12 +108,20 @@
         GatewaySettings gateway = new GatewaySettings(Tables.word(section, "name", section.text("name", "gateway")),
                 endpoint(section, "listen", section.requiredText("listen")), zone, zones,
                 (int) section.whole("number", 0, 0, gateways - 1), gateways,
-                (int) section.whole("connections", 1024, 8, 1 << 16), section.text("status_file"),
+                (int) section.whole("connections", 1024, 8, 1 << 20), bounds(section), section.text("status_file"),
                 section.span("settle", 50 * MILLI, 20 * MILLI, 10 * SECOND));
         section.noMore();
         return gateway;
     }
 
+    private static PhaseBounds bounds(Section section) {
+        PhaseBounds usual = PhaseBounds.USUAL;
+        return new PhaseBounds(section.span("silent_most", usual.silent(), 100 * MILLI, 3600 * SECOND),
+                section.span("whole_in", usual.whole(), 100 * MILLI, 60 * SECOND),
+                section.span("unread_most", usual.unread(), 100 * MILLI, 600 * SECOND),
+                section.span("idle_most", usual.idle(), PhaseBounds.AWAKE + 100 * MILLI, 24 * 3600 * SECOND));
+    }
+
     // ---- RADIUS
 
     private List<RadiusSettings> radius(Section root, List<RequestClass> classes, List<Tenant> tenants) {
--- a/src/main/java/mastdrift/lab/GatewayProcess.java
+++ b/src/main/java/mastdrift/lab/GatewayProcess.java
@@ -111,7 +111,7 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
-        process.destroyForcibly().waitFor();
+    public void close() {
+        process.destroyForcibly().onExit().join();
     }
 }
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -7,10 +7,10 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
@@ -28,17 +28,16 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Tenant;
@@ -48,6 +47,9 @@
 import mastdrift.engine.Exchange;
 import mastdrift.engine.Ledger;
 import mastdrift.engine.Pool;
+import mastdrift.limits.Connections;
+import mastdrift.limits.Phase;
+import mastdrift.limits.PhaseBounds;
 
 /** The server that clients connect to: reads requests, refuses what is none, writes the final answers. */
 public final class ClientSide {
@@ -61,19 +63,16 @@
     private static final int BODY_MOST = 64 << 10;
     private static final int BACKLOG = 1024;
     private static final int PIPELINED_MOST = 8;
-    // A client that takes nothing of its answer for so long is gone.
-    private static final long WRITE_MOST = 10_000_000;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
     // For so long clients are served on the connections that they have, since other gateways may be away as well; and
     // all is answered so long after the longest deadline, before the program may be killed.
     private static final long STOP_SERVING_MILLIS = 1500;
     private static final long STOP_ANSWERED = 400_000;
-    // A request has to be whole so long after its connection came, or after its first byte on one in use: the bound is
-    // not moved by what trickles in.
-    private static final long WHOLE_IN = 2_000_000;
-    private static final long IDLE_MOST = 10_000_000;  // connections that nobody asks on any more are not kept for good
+    // Connections that have been in their phase for too long are looked for so often, and so many closed at a time: closing ten
+    // thousand at once would hold up everybody else.
     private static final long SWEEP_MILLIS = 250;
+    private static final int SWEEP_MOST = 1_000;
 
     private final EventLoop loop;
     private final Ledger ledger;
@@ -82,9 +81,7 @@
     private final int most;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
-    private final Set<Connection> connections = new HashSet<>();
-    private final LinkedHashSet<Connection> silent = new LinkedHashSet<>();  // never asked yet, the eldest first
-    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();  // the longest idle first
+    private final Connections<Connection> connections;
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
     private boolean stopping;
@@ -92,9 +89,16 @@
     private long answerBy = Long.MAX_VALUE;
     private Runnable stopped;
 
-    /** Holds about {@code most} connections. */
+    /** Holds about {@code most} connections, by the usual bounds in time. */
     public ClientSide(EventLoop loop, Ledger ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
             int most, Consumer<String> log) {
+        this(loop, ledger, router, classes, tenants, most, PhaseBounds.USUAL, log);
+    }
+
+    /** Likewise, by others. */
+    public ClientSide(EventLoop loop, Ledger ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
+            int most, PhaseBounds bounds, Consumer<String> log) {
+        connections = new Connections<>(bounds);
         this.loop = loop;
         this.ledger = ledger;
         this.router = router;
@@ -109,6 +113,17 @@
         return (InetSocketAddress) server.localAddress();
     }
 
+    /** Connections that clients have; on the loop's thread. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Those of them that hold what reading a request needs, or those that don't; on the loop's thread. */
+    int connections(boolean awake) {
+        int bare = connections.size(Phase.DORMANT) + connections.size(Phase.SILENT);
+        return awake ? connections.size() - bare : bare;
+    }
+
     /** Binds; whether that went well is in the future. */
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -117,8 +132,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new StrictDecoder(), new HttpResponseEncoder(), new Requests(),
-                                new Connection(channel));
+                        channel.pipeline().addLast(new Connection(channel));
                     }
                 }).bind(at);
         server = bound.channel();
@@ -141,27 +155,35 @@
     }
 
     private void closeIdle() {
-        List.copyOf(silent).forEach(connection -> connection.channel.close());
-        List.copyOf(idle).forEach(connection -> connection.channel.close());
+        for (Phase phase : List.of(Phase.SILENT, Phase.PART, Phase.IDLE, Phase.DORMANT)) {
+            connections.each(phase, Connection::close);
+        }
     }
 
     private void closeOverdue() {
-        long now = ledger.now();
-        List.copyOf(connections).forEach(connection -> connection.closeOverdue(now));
+        connections.overdue(ledger.now(), SWEEP_MOST, Connection::overdue);
+    }
+
+    private boolean makeRoom(Connections.Entry<Connection> newcomer) {
+        Connection gives = connections.givesWay(newcomer);
+        if (gives != null) {
+            gives.close();
+        }
+        return gives != null;
     }
 
-    /** Those that never asked go first: silent floods must not push out clients that come back. */
-    private boolean makeRoom(Connection newcomer) {
-        Connection first = Stream.concat(silent.stream(), idle.stream()).filter(c -> c != newcomer).findFirst()
-                .orElse(null);
-        if (first != null) {
-            first.channel.close();
+    /** Whom a connection counts for: an address, or 64 bits of it where one client has as many as it likes (RFC 4291, section 2.5). */
+    private static long holder(SocketAddress of) {
+        byte[] address = of instanceof InetSocketAddress at ? at.getAddress().getAddress() : new byte[0];
+        long holder = 0;
+        for (int i = 0; i < Math.min(Long.BYTES, address.length); i++) {
+            holder = holder << Byte.SIZE | address[i] & 0xFF;
         }
-        return first != null;
+        return holder;
     }
 
     private void checkStopped() {
-        if (stopped != null && connections.isEmpty()) {
+        if (stopped != null && connections.size() == 0) {
             stopped.run();
         }
     }
@@ -186,52 +208,64 @@
     /** A request, and since when it may have waited. */
     private record Arrived(FullHttpRequest message, long at) { }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Client {
+    /** One client's connection. While it says nothing it is all that the pipeline has: what reads and writes HTTP is put ahead of it
+        by the first byte, and taken out again once the connection has been idle for a while. */
+    private final class Connection extends ChannelInboundHandlerAdapter implements Client {
 
         private final Channel channel;
-        private final Queue<Arrived> waiting = new ArrayDeque<>();
+        private Connections.Entry<Connection> entry;
+        private StrictDecoder decoder;  // null while there is none
+        private Queue<Arrived> waiting;  // requests behind the current one, null until there is one
         private FullHttpRequest current;
         private Exchange exchange;
         private String id;
         private boolean read;
-        private long idleSince = ledger.now();
-        private long writesSince;  // an answer that isn't with the system yet, 0 while there is none
-        private long partSince;  // since when there is a part of a request, 0 while there is none
 
         Connection(Channel channel) {
             this.channel = channel;
         }
 
-        /** At the bound, the longest idle one makes room; where none is, no more are accepted for now. */
+        /** At the bound another one makes room; where none can, no more are accepted for now. */
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            connections.add(this);
-            silent.add(this);
-            if (connections.size() > most && !makeRoom(this)) {
+            entry = connections.opened(ledger.now(), this, holder(channel.remoteAddress()));
+            if (connections.size() > most && !makeRoom(entry)) {
                 server.config().setAutoRead(false);
             }
         }
 
         /** Without a word: a 408 might cross a request, and be taken for its answer. */
-        private void closeOverdue(long now) {
-            boolean part = partSince != 0 && now - partSince > WHOLE_IN;
-            boolean unread = writesSince != 0 && now - writesSince > WRITE_MOST;
-            if (unread || current == null && (part || now - idleSince > (silent.contains(this) ? WHOLE_IN : IDLE_MOST))) {
-                channel.close();
+        private void overdue(Phase phase) {
+            if (phase == Phase.IDLE && decoder.isEmpty()) {
+                connections.moved(ledger.now(), entry, Phase.DORMANT);
+                channel.pipeline().remove(StrictDecoder.class);
+                channel.pipeline().remove(HttpResponseEncoder.class);
+                channel.pipeline().remove(Requests.class);
+                decoder = null;
+                waiting = null;
+            } else {
+                close();
             }
         }
 
+        private void close() {
+            connections.closed(entry);
+            channel.close();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            connections.remove(this);
-            silent.remove(this);
-            idle.remove(this);
+            if (entry != null) {
+                connections.closed(entry);
+            }
             open.remove(id);
             if (connections.size() <= most) {
                 server.config().setAutoRead(true);
             }
-            waiting.forEach(arrived -> arrived.message.release());
-            waiting.clear();
+            if (waiting != null) {
+                waiting.forEach(arrived -> arrived.message.release());
+                waiting.clear();
+            }
             if (exchange != null) {
                 exchange.departed();
             }
@@ -239,40 +273,52 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof FullHttpRequest request) {
+                arrived(request);
+            } else {
+                decoder = new StrictDecoder();
+                channel.pipeline().addFirst(decoder, new HttpResponseEncoder(), new Requests());
+                channel.pipeline().fireChannelRead(message);
+            }
+        }
+
+        /** Takes over the message. */
+        private void arrived(FullHttpRequest message) {
             read = true;
-            partSince = 0;
-            silent.remove(this);
-            waiting.add(new Arrived(message.retain(), ledger.arrived()));
+            Arrived arrived = new Arrived(message, ledger.arrived());
+            if (current == null) {
+                next(arrived);
+                return;
+            }
+            if (waiting == null) {
+                waiting = new ArrayDeque<>(2);
+            }
+            waiting.add(arrived);
             if (waiting.size() > PIPELINED_MOST) {
                 channel.config().setAutoRead(false);
             }
-            if (current == null) {
-                next();
-            }
         }
 
         /** What was read without a whole request coming of it is a part of one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            if (!read && partSince == 0) {
-                partSince = ledger.now();
+            if (!read && current == null) {
+                connections.moved(ledger.now(), entry, entry.phase() == Phase.SILENT ? Phase.SILENT : Phase.PART);
             }
             read = false;
         }
 
-        private void next() {
-            Arrived arrived = waiting.poll();
+        private void next(Arrived arrived) {
             if (arrived == null) {
                 channel.config().setAutoRead(true);
-                idle.add(this);
-                idleSince = ledger.now();
+                connections.moved(ledger.now(), entry, decoder.isEmpty() ? Phase.IDLE : Phase.PART);
                 if (connections.size() > most) {  // or accepting, once paused, would never go on
                     makeRoom(null);
                 }
                 return;
             }
-            idle.remove(this);
+            connections.moved(ledger.now(), entry, Phase.BUSY);
             current = arrived.message;
             try {
                 begin(arrived);
@@ -401,14 +447,13 @@
             boolean keep = !close && !closing && HttpUtil.isKeepAlive(current);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keep);
-            writesSince = ledger.now();
+            connections.moved(ledger.now(), entry, Phase.UNREAD);
             channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
-                writesSince = 0;
                 current = null;
                 if (keep && done.isSuccess()) {
-                    next();
+                    next(waiting == null ? null : waiting.poll());
                 } else {
-                    channel.close();
+                    close();
                 }
             });
         }
--- a/src/main/java/mastdrift/net/StrictDecoder.java
+++ b/src/main/java/mastdrift/net/StrictDecoder.java
@@ -90,6 +90,11 @@
         return false;
     }
 
+    /** Whether nothing of a request is waiting for its rest. */
+    boolean isEmpty() {
+        return inHead && !begun && actualReadableBytes() == 0;
+    }
+
     // ---- the request line: the words' places tell what stands between them
 
     @Override
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -277,7 +277,7 @@
             gateway = next.gateway();
             status = gateway.statusFile() == null ? null : new StatusFile(file, gateway.statusFile());
             clients = new ClientSide(loop, ledger, this::route, next.classes(), next.tenants(), gateway.connections(),
-                    this::log);
+                    gateway.bounds(), this::log);
             listeners = next.radius();
             listeners.forEach(each -> radius.add(radiusFront(next, each)));
         }
--- a/src/test/java/mastdrift/config/ConfigurationReaderTest.java
+++ b/src/test/java/mastdrift/config/ConfigurationReaderTest.java
@@ -17,6 +17,7 @@
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
+import mastdrift.limits.PhaseBounds;
 import mastdrift.membership.Guards;
 import mastdrift.membership.Guards.Guard;
 import mastdrift.membership.Listed;
@@ -44,7 +45,8 @@
     @Test
     void aGoodSetIsReadAsItIs() {
         Configuration read = good();
-        assertEquals(new GatewaySettings("g", "127.0.0.1:0", "bilbao", List.of("bilbao", "oviedo"), 0, 1, 1024, null, 50_000),
+        assertEquals(new GatewaySettings("g", "127.0.0.1:0", "bilbao", List.of("bilbao", "oviedo"), 0, 1, 1024,
+                PhaseBounds.USUAL, null, 50_000),
                 read.gateway());
         assertEquals(new RequestClass("session-start", 600_000, 0, 1_500_000, 1, 0.5, Repeat.KEYED, Group.ZONE, 1_500_000,
                 false), read.classes().get(1));
--- /dev/null
+++ b/src/test/java/mastdrift/net/ConnectionBoundsTest.java
@@ -0,0 +1,197 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.answer;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import mastdrift.Balance;
+import mastdrift.limits.PhaseBounds;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Clients that hold on to connections, each in its way, with the bounds in time made short. */
+class ConnectionBoundsTest {
+
+    private static final PhaseBounds BOUNDS = new PhaseBounds(400_000, 400_000, 400_000, 1_400_000);
+    private static final int MOST = 12;
+    private static final String LARGE = "x".repeat(60_000);
+
+    /** What a client does with its connection; it is closed from the other side for it. */
+    private enum Manner {
+        NOTHING, PART_OF_A_HEAD, A_BYTE_NOW_AND_THEN, PART_OF_A_BODY, IDLE_BETWEEN, PART_BEHIND_A_REQUEST, NEVER_READS
+    }
+
+    @TempDir
+    private Path folder;
+
+    private final TimedLoop timed = TimedLoop.start();
+    private final List<Socket> sockets = new ArrayList<>();
+    private Server discovery;
+    private Server host;
+    private ClientSide clients;
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery = discovery();
+        host = new Server(message -> write(message.socket(), answer("200 OK", LARGE)));
+        Config config = Config.read(environment(folder, discovery, list(1, true, entry("s1", host.address(), "a", "in_service")),
+                SETTINGS));
+        clients = timed.loop().submit(() -> {
+            Gateway gateway = new Gateway(config, timed, new Balance(), 100, 100,
+                    new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+            return new ClientSide(timed.loop(), gateway.ledger(), gateway, config.settings().classes(),
+                    config.settings().tenants(), MOST, BOUNDS, line -> { });
+        }).get();
+        clients.listen(new InetSocketAddress("127.0.0.1", 0)).sync();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        timed.loop().parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+        discovery.close();
+        host.close();
+    }
+
+    private Socket connect(String from) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4_096);
+        socket.bind(new InetSocketAddress(InetAddress.getByName(from), 0));
+        socket.connect(clients.address());
+        socket.setSoTimeout(Loopback.WAIT_SECONDS * 1000);
+        sockets.add(socket);
+        return socket;
+    }
+
+    private void ask(Socket socket, String id) throws IOException {
+        write(socket, read(20_000).replace("9b1f", id));
+        assertEquals(LARGE, Loopback.read(socket).text());
+    }
+
+    private void begin(Socket socket, Manner manner) throws IOException {
+        switch (manner) {
+            case NOTHING -> { }
+            case PART_OF_A_HEAD, A_BYTE_NOW_AND_THEN -> write(socket, "GET /api HTTP/1.1\r\nHost: s\r\nX-");
+            case PART_OF_A_BODY -> write(socket, Loopback.post("once", 20_000, "whole").replaceFirst("whole$", "w"));
+            case IDLE_BETWEEN -> ask(socket, "before");
+            case PART_BEHIND_A_REQUEST -> write(socket, read(20_000) + "GET /ap");
+            default -> {
+                for (int i = 0; i < 8; i++) {
+                    write(socket, read(20_000).replace("9b1f", "unread" + i));
+                }
+            }
+        }
+    }
+
+    /** Ends as it should, no sooner than its bound allows, while another client on the same loop is served all the time. */
+    @ParameterizedTest
+    @EnumSource(Manner.class)
+    void whoHoldsOnIsClosedAndNobodyElse(Manner manner) throws Exception {
+        Socket good = connect("127.0.0.1");
+        Socket bad = connect("127.0.0.2");
+        long since = System.nanoTime();
+        begin(bad, manner);
+        boolean open = true;
+        for (int i = 0; open; i++) {
+            assertTrue(System.nanoTime() - since < TimeUnit.SECONDS.toNanos(Loopback.WAIT_SECONDS), "still open");
+            ask(good, "good" + i);
+            if (manner == Manner.A_BYTE_NOW_AND_THEN) {
+                open = sends(bad);
+            } else if (manner == Manner.NEVER_READS) {
+                open = connected(bad);
+            } else {
+                bad.setSoTimeout(20);
+                open = !ended(bad);
+            }
+            Thread.sleep(20);
+        }
+        long took = (System.nanoTime() - since) / 1000;
+        assertTrue(took >= 390_000, "closed after " + took + " us");
+        assertTrue(manner != Manner.IDLE_BETWEEN || took >= 1_390_000, "closed after " + took + " us");
+    }
+
+    private static boolean sends(Socket socket) {
+        try {
+            socket.getOutputStream().write('x');
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Whether the other end still has it: it has nothing to read, so a byte tells. */
+    private boolean connected(Socket socket) throws Exception {
+        return sends(socket) && timed.loop().submit(() -> clients.connections()).get() > 1;
+    }
+
+    private static boolean ended(Socket socket) throws IOException {
+        try {
+            while (socket.getInputStream().read() >= 0) { }
+            return true;
+        } catch (java.net.SocketTimeoutException e) {
+            return false;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+
+    /** What reads and writes HTTP is taken out after a second between requests, and is there again for the next, as often as that
+        happens. */
+    @Test
+    void aConnectionThatSleptIsServedAgain() throws Exception {
+        Socket client = connect("127.0.0.1");
+        for (int i = 0; i < 2; i++) {
+            ask(client, "one" + i);
+            assertEquals(1, pipelines(true), "awake at first");
+            Loopback.eventually(() -> pipelines(false) == 1);
+            ask(client, "two" + i);
+        }
+    }
+
+    private long pipelines(boolean awake) throws Exception {
+        return timed.loop().submit(() -> clients.connections(awake)).get();
+    }
+
+    /** A flood of connections that say nothing, from one address: it makes room for itself, and who came before stays. */
+    @Test
+    void aSilentFloodClosesItsOwn() throws Exception {
+        Socket good = connect("127.0.0.1");
+        ask(good, "before");
+        for (int i = 0; i < 5 * MOST; i++) {
+            connect("127.0.0.2");
+            if (i % 8 == 0) {
+                ask(good, "during" + i);
+            }
+        }
+        ask(good, "after");
+        assertTrue(timed.loop().submit(() -> clients.connections()).get() <= MOST + 1);
+        assertNull(Loopback.read(sockets.get(1)), "the eldest of the flood is gone");
+    }
+}
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -81,6 +82,15 @@
         return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** Waits for something to come true. */
+    static void eventually(Callable<Boolean> condition) throws Exception {
+        for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS); !condition.call(); Thread.sleep(10)) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("never came true");
+            }
+        }
+    }
+
     static <T> T await(BlockingQueue<T> queue) throws InterruptedException {
         T next = queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
         if (next == null) {
