A starved gateway no longer takes its own silence for the hosts', nor refuses for good

Cause, found by the measurement of a shared core: 16 programs that spin beside the gateway, 1,500 requests a second. Clients left before the loop got to their answers, so hosts counted as silent and were marked down, and connects that the loop was too late for counted as failed. Where a pool allows no probes nothing ever told that they were back: 100% refused, also 4 s after the core was free again, before this subsystem as with it.

Change: attempts whose clients leave, that time out or break while the loop mostly wasn't looking are no sign of a host's silence; a connect that was given up so counts as unused. Without probes, whoever is down is tried again after 3 s as if cold.

Both tests were seen to fail with the change taken out. Ruled out: a wheel or an accept that stood still; the gateway went on answering, with refusals.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -28,6 +28,7 @@
     private static final long REPORT_FRESH = 1_000_000; // a queue reported earlier than this says nothing
     private static final long DOWN_AFTER = 1_000_000;   // no answer for this long makes a refusal a sign
     private static final int SILENT = 3;                // attempts with no answer for so long: it is silent
+    private static final long TRIAL = 3_000_000;        // without probes, who is down is tried so much later
     private static final long SUSPECT_SPAN = 6_000_000; // by then the registry has told of a restart
     // Counts and ratios.
     private static final int SAMPLES = 32;              // kept a server: enough for a 95th percentile
@@ -253,11 +254,22 @@
 
     @Override
     public void departed(long now, long id) {
-        if (held.containsKey(id)) {
-            end(held.get(id));
+        Held req = held.get(id);
+        if (req != null) {
+            for (Attempt attempt : req.attempts) {
+                if (attempt.out && 2 * ownBehind > now - attempt.sentAt) {
+                    unheard(attempt.server);
+                }
+            }
+            end(req);
         }
     }
 
+    /** Whether it would have answered isn't known, by the gateway's own fault: that is no silence. */
+    private static void unheard(Server server) {
+        server.unanswered = Math.max(0, server.unanswered - 1);
+    }
+
     @Override
     public void timer(long now, String handle) {
         if (handle.equals(TIMER)) {
@@ -296,7 +308,7 @@
                 answered(now, server);
                 learn(now, server, elapsed / usual[req.cls]);
             }
-            case REVOKED, UNUSED -> { }
+            case REVOKED, UNUSED -> unheard(server);
             default -> failed(now, server, outcome);
         }
     }
@@ -409,6 +421,9 @@
             if (server.unanswered >= SILENT && silent > DOWN_AFTER && !server.down) {
                 markDown(now, server);
             }
+            if (server.down && !settings.limits().probes() && now - server.sentAt > TRIAL) {
+                answered(now, server);  // as if cold, or nothing would ever tell that it is back
+            }
             measure(now, server);
             long oldest = server.out.stream().filter(a -> a.sentAt > server.overtook).findFirst()
                     .map(a -> now - ownBehind - a.sentAt).orElse(0L);
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -173,7 +173,7 @@
     void hosts(long now, ListForm form, List<Host> hosts);
 
     /** How late the gateway itself is; told ahead of events that tell of hosts' time. Whatever comes to it has to wait
-        {@code standing} at least, and what came in the last {@code behind} has not been told yet. */
+        {@code standing} at least, and what came in the last {@code behind} may not have been told yet. */
     default void own(long now, long standing, long behind) { }
 
     /** A client's request has come in; it is owed exactly one final answer. */
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -207,7 +207,10 @@
     }
 
     private void departedFrom(Exchange exchange) {
-        event(null, now -> exchange.pool.module().departed(now, exchange.id));
+        event(null, now -> {
+            exchange.pool.own(now);
+            exchange.pool.module().departed(now, exchange.id);
+        });
     }
 
     private void finish(Exchange exchange) {
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -99,7 +99,7 @@
 
     /** Tells the module how late the loop is, ahead of what may be judged by it. */
     void own(long now) {
-        module.own(now, ledger.turns().standing(), ledger.turns().behind(now));
+        module.own(now, ledger.turns().standing(), ledger.turns().own(now));
     }
 
     /** An attempt: what of its time was this program's own, and its end. */
@@ -133,8 +133,7 @@
             if (outcome == Outcome.DELIVERED && !exchange.ended) {
                 ledger.served(exchange, answer);
             }
-            // Most of the time the loop wasn't looking: that the host was late isn't known. It may have run all the same.
-            Outcome told = outcome == Outcome.EXPIRED && 2 * own > all ? Outcome.REVOKED : outcome;
+            Outcome told = 2 * own > all ? unblamed(outcome) : outcome;
             ledger.event(exchange, at -> {
                 exchange.out--;
                 ledger.forget(exchange);
@@ -144,6 +143,15 @@
         }
     }
 
+    /** Most of the time the loop wasn't looking: that it was the host isn't known. What may have run may have run all the same. */
+    private static Outcome unblamed(Outcome outcome) {
+        return switch (outcome) {
+            case EXPIRED, DROPPED -> Outcome.REVOKED;
+            case DIAL_FAILED -> Outcome.UNUSED;
+            default -> outcome;
+        };
+    }
+
     // ---- actions
 
     @Override
--- a/src/main/java/mastdrift/measure/SharedCoreMeasurement.java
+++ b/src/main/java/mastdrift/measure/SharedCoreMeasurement.java
@@ -15,7 +15,7 @@
 
 /** The platform's gateway on a core that others use up: four hosts that take 5 ms, of which one takes 200 ms for the second half.
     What is refused, and how much the slow host gets, tells whose lateness the gateway takes it for. Programs that only spin share the
-    core. {@code SharedCoreMeasurement BASELINE.jar [SPINNING [PER_SECOND [ROUNDS]]]}. */
+    core, and leave it in the end. {@code SharedCoreMeasurement BASELINE.jar [SPINNING [PER_SECOND [ROUNDS]]]}. */
 public final class SharedCoreMeasurement {
 
     private static final int HOSTS = 4;
@@ -50,15 +50,19 @@
             slow.work(200_000);
             long before = slow.served();
             LoadResult one = LoadRun.start(LoadPlan.open(gateway.http(), perSecond, SECONDS, 256, 1_400).seeded(seed + 1)).join();
-            System.out.printf("%-6s alike: %s; one slow: %s, it got %.3f of all%n", name, text(alike), text(one),
-                    (double) (slow.served() - before) / one.count(Of.ASKED));
+            double part = (double) (slow.served() - before) / one.count(Of.ASKED);
+            slow.work(5_000);
+            spinners.forEach(Process::destroyForcibly);
+            LoadResult after = LoadRun.start(LoadPlan.open(gateway.http(), perSecond, SECONDS / 2, 256, 1_400).seeded(seed + 2)).join();
+            System.out.printf("%-6s alike: %s;%n       one slow: %s, it got %.3f of all;%n       core free again: %s%n", name, text(alike),
+                    text(one), part, text(after));
         } finally {
             spinners.forEach(Process::destroyForcibly);
         }
     }
 
     private static String text(LoadResult result) {
-        return String.format("refused %.2f%%, failed %d, p50 %.1f ms, p99 %.1f ms", 100.0 * result.count(Of.REFUSED) / result.count(Of.ASKED),
-                result.failed(), result.quantile(0.5) / 1e3, result.quantile(0.99) / 1e3);
+        return String.format("refused %.2f%%, failed %d (unanswered %d), p50 %.1f ms, p99 %.1f ms", 100.0 * result.count(Of.REFUSED) / result.count(Of.ASKED),
+                result.failed(), result.count(Of.UNANSWERED), result.quantile(0.5) / 1e3, result.quantile(0.99) / 1e3);
     }
 }
--- a/src/test/java/mastdrift/AdmissionTest.java
+++ b/src/test/java/mastdrift/AdmissionTest.java
@@ -208,4 +208,43 @@
         gateway.advance(2_000_000);
         assertEquals(!silent, gateway.probes.isEmpty(), "who is silent is probed");
     }
+
+    /** Where no probes are allowed, a fleet that was silent for a while is tried again, a little at first; nothing else would ever
+        tell that it is back. */
+    @Test
+    void withoutProbesWhoIsDownIsTriedAgain() {
+        Gateway gateway = new Gateway();
+        gateway.probing = false;
+        gateway.start(2);
+        warmUp(gateway, 200, 20_000);
+        for (int i = 0; i < 40; i++) {
+            long id = gateway.request("read", null, 5_000L + i, 500_000);
+            gateway.advance(100_000);
+            gateway.module.departed(gateway.now, id);
+        }
+        int before = gateway.sent.size();
+        for (int i = 0; i < 10; i++) {
+            gateway.module.departed(gateway.now, gateway.request("read", null, 6_000L + i, 500_000));
+        }
+        assertEquals(before, gateway.sent.size(), "both are down");
+        gateway.advance(4_000_000);
+        gateway.serve(1_000, 20_000, 20_000);
+        int served = gateway.sent.size() - before;
+        assertTrue(served > 500, "sent " + served);
+    }
+
+    /** Clients that leave while the gateway itself is late say nothing of hosts; else they do. */
+    @ParameterizedTest
+    @CsvSource({"0,true", "400000,false"})
+    void whoLeavesALateGatewayDoesNotMakeHostsSilent(long own, boolean silent) {
+        Gateway gateway = new Gateway().start(1);
+        warmUp(gateway, 100, 20_000);
+        for (int i = 0; i < 30; i++) {
+            long id = gateway.request("read", null, 100L + i, 60_000_000);
+            gateway.advance(100_000);
+            gateway.module.own(gateway.now, 0, own);
+            gateway.module.departed(gateway.now, id);
+        }
+        assertEquals(!silent, gateway.probes.isEmpty(), "who is silent is probed");
+    }
 }
