Failures that come at once are the hosts' again, whatever the loop's turn

A refused connection is known within 0.2 ms, of which a turn is easily half, so hosts that were gone were not blamed.

Change: only lateness of more than 100 ms excuses anything.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -28,6 +28,7 @@
     private static final long REPORT_FRESH = 1_000_000; // a queue reported earlier than this says nothing
     private static final long DOWN_AFTER = 1_000_000;   // no answer for this long makes a refusal a sign
     private static final int SILENT = 3;                // attempts with no answer for so long: it is silent
+    private static final long UNSURE = 100_000;        // own lateness that makes leaving say little
     private static final long TRIAL = 3_000_000;        // without probes, who is down is tried so much later
     private static final long SUSPECT_SPAN = 6_000_000; // by then the registry has told of a restart
     // Counts and ratios.
@@ -257,7 +258,7 @@
         Held req = held.get(id);
         if (req != null) {
             for (Attempt attempt : req.attempts) {
-                if (attempt.out && 2 * ownBehind > now - attempt.sentAt) {
+                if (attempt.out && ownBehind > UNSURE && 2 * ownBehind > now - attempt.sentAt) {
                     unheard(attempt.server);
                 }
             }
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -16,6 +16,8 @@
     // What is left of a host's time where all of it may have passed here: as exact as need be, and not nothing, since
     // hosts are compared by parts of what is usual.
     private static final long LEAST = 1_000;
+    // Less lateness than that has nobody's time run out: what failed then failed by itself, however soon.
+    private static final long UNSURE = 100_000;
 
     private final String name;
     private final Ledger ledger;
@@ -133,7 +135,7 @@
             if (outcome == Outcome.DELIVERED && !exchange.ended) {
                 ledger.served(exchange, answer);
             }
-            Outcome told = 2 * own > all ? unblamed(outcome) : outcome;
+            Outcome told = own > UNSURE && 2 * own > all ? unblamed(outcome) : outcome;
             ledger.event(exchange, at -> {
                 exchange.out--;
                 ledger.forget(exchange);
