--- a/src/main/java/mastdrift/engine/Wheel.java
+++ b/src/main/java/mastdrift/engine/Wheel.java
@@ -89,13 +89,10 @@
                 entry.unlink();
                 Runnable what = entry.what;
                 entry.what = null;
-                try {
-                    what.run();
-                } finally {
-                    if (next != null && !next.linked) {
-                        next = slots[(int) tick & MASK];  // it cancelled the next: look at the slot anew
-                        last = next == null ? null : next.before;
-                    }
+                what.run();
+                if (next != null && !next.linked) {
+                    next = slots[(int) tick & MASK];  // it cancelled the next: look at the slot anew
+                    last = next == null ? null : next.before;
                 }
             }
             entry = next;
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -81,6 +81,7 @@
     private final int most;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
+    private final PhaseBounds bounds;
     private final Connections<Connection> connections;
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
@@ -98,6 +99,7 @@
     /** Likewise, by others. */
     public ClientSide(EventLoop loop, Ledger ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
             int most, PhaseBounds bounds, Consumer<String> log) {
+        this.bounds = bounds;
         connections = new Connections<>(bounds);
         this.loop = loop;
         this.ledger = ledger;
@@ -114,7 +116,7 @@
     }
 
     /** Connections that clients have; on the loop's thread. */
-    public int connections() {
+    int connections() {
         return connections.size();
     }
 
@@ -304,7 +306,9 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             if (!read && current == null) {
-                connections.moved(ledger.now(), entry, entry.phase() == Phase.SILENT ? Phase.SILENT : Phase.PART);
+                // Where silence ends as soon, that bound goes on: what trickles in must not gain by its first byte.
+                boolean goesOn = entry.phase() == Phase.SILENT && bounds.silent() <= bounds.whole();
+                connections.moved(ledger.now(), entry, goesOn ? Phase.SILENT : Phase.PART);
             }
             read = false;
         }
--- a/src/test/java/mastdrift/net/ConnectionBoundsTest.java
+++ b/src/test/java/mastdrift/net/ConnectionBoundsTest.java
@@ -37,7 +37,8 @@
 /** Clients that hold on to connections, each in its way, with the bounds in time made short. */
 class ConnectionBoundsTest {
 
-    private static final PhaseBounds BOUNDS = new PhaseBounds(400_000, 400_000, 400_000, 1_400_000);
+    private static final long SILENT = 5_000_000;
+    private static final PhaseBounds BOUNDS = new PhaseBounds(SILENT, 400_000, 400_000, 1_400_000);
     private static final int MOST = 12;
     private static final String LARGE = "x".repeat(60_000);
 
@@ -134,6 +135,7 @@
         }
         long took = (System.nanoTime() - since) / 1000;
         assertTrue(took >= 390_000, "closed after " + took + " us");
+        assertTrue(manner == Manner.NOTHING == took >= SILENT, "a first byte ends silence: closed after " + took + " us");
         assertTrue(manner != Manner.IDLE_BETWEEN || took >= 1_390_000, "closed after " + took + " us");
     }
 
