Zones: counts by flow, budgets with escrow, giving way, keys; asked by the module

What crosses zones could be neither counted nor bounded: hosts of another zone had 0.3 of their share, whatever it cost. A test of the file watcher had a race of its own: its verdict was read after the test could have changed it.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -112,6 +112,7 @@
     private double shareSum;
     private double shareMost;
     private boolean sparse;
+    private boolean homeSparse;
     private double queueSum;
     private int outSum;
     private double recentSum;
@@ -515,11 +516,14 @@
         if (server.down || server.host.health() != Health.UP || server.respTime > theta) {
             return 0;
         }
-        double near = server.host.zone().equals(settings.site().zone()) ? 1 : AWAY;
-        double size = near * server.kind.size * size(server.host);
+        double size = (near(server) ? 1 : AWAY) * server.kind.size * size(server.host);
         return (theta - server.respTime) / theta * size * warmth(now, server) * server.serving;
     }
 
+    private boolean near(Server server) {
+        return server.host.zone().equals(settings.site().zone());
+    }
+
     private double size(Host host) {
         return weighted ? host.weight() : 1;
     }
@@ -540,7 +544,8 @@
         for (int i = 0; i < DRAWS && found < CANDIDATES && table.length > 0; i++) {
             long hash = mix(req.key + i * 0x9E3779B97F4A7C15L);
             Server server = table[(int) hash & (table.length - 1)];
-            if ((mix(hash) >>> 11) * 0x1.0p-53 * shareMost >= server.share || !maySend(now, req, server)) {
+            double share = server.share * crossing(now, req, server);
+            if ((mix(hash) >>> 11) * 0x1.0p-53 * shareMost >= share || !maySend(now, req, server)) {
                 continue;
             }
             found++;
@@ -553,7 +558,7 @@
                 leastBurden = burden;
             }
         }
-        return found == 0 && sparse ? search(now, req) : least;
+        return found == 0 && (req.crossing == null ? sparse : homeSparse) ? search(now, req) : least;
     }
 
     /** For lists that are sparse: most servers take nothing, or few have nearly all of the weight, so that
@@ -566,7 +571,8 @@
         for (Server server : servers.values()) {
             if (server.share > 0 && maySend(now, req, server)) {
                 long hash = mix(req.key ^ mix(server.host.address().hashCode()));
-                double score = -Math.log(((hash >>> 11) + 0.5) * 0x1.0p-53) / server.share;
+                double share = server.share * crossing(now, req, server);
+                double score = -Math.log(((hash >>> 11) + 0.5) * 0x1.0p-53) / share;
                 if (score < lowest) {
                     lowest = score;
                     best = server;
@@ -589,7 +595,9 @@
 
     private Server stick(long now, Held req, Session session) {
         Server server = session.server();
-        boolean fits = server.inSet && !server.down && maySend(now, req, server);
+        // What a warm key saves is no reason to cross, unless crossing weighs nothing.
+        boolean fits = server.inSet && !server.down && crossing(now, req, server) == 1
+                && maySend(now, req, server);
         return fits && burden(now, server) <= STICKY ? server : null;
     }
 
@@ -794,7 +802,13 @@
     private boolean maySend(long now, Held req, Server server) {
         return listed(server) && req.ends > now && !req.streaming
                 && req.attempts.size() < settings.limits().maxAttempts()
-                && mayRepeat(now, req, server) && coldAllows(now, req, server);
+                && crossing(now, req, server) > 0 && mayRepeat(now, req, server)
+                && coldAllows(now, req, server);
+    }
+
+    /** The part of its share that a server has for a request, by the zone that it is in. */
+    private static double crossing(long now, Held req, Server server) {
+        return req.crossing == null ? 1 : req.crossing.part(now, server.host.zone());
     }
 
     private boolean listed(Server server) {
@@ -832,6 +846,9 @@
                 || req.type.repeat() == Repeat.KEYED && req.type.group() == Group.ALL
                 || req.attempts.stream().allMatch(a -> a.neverRan);
         if (harmless) {
+            if (req.why == Why.HOSTS && req.crossing != null && req.crossing.heldBack()) {
+                req.why = Why.ZONES;
+            }
             long after = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
             actions.refuse(req.id, after, req.why);
         } else {
@@ -977,10 +994,17 @@
                 .filter(s -> s.host.health() == Health.UP).mapToDouble(s -> s.share).max().orElse(0));
         // Whether the draws for a request are too few to be sure of a host that the list gives weight. By
         // the list alone: where hosts are cold or failing, draws that find nobody keep the rest upright.
-        double[] sizes = servers.values().stream().filter(s -> s.host.health() == Health.UP)
-                .mapToDouble(s -> size(s.host)).toArray();
-        double most = Arrays.stream(sizes).max().orElse(0);
-        sparse = DRAWS * Arrays.stream(sizes).sum() < SURE * most * servers.size();
+        double sum = 0;
+        double home = 0;
+        double most = 0;
+        for (Server server : servers.values()) {
+            double size = server.host.health() == Health.UP ? size(server.host) : 0;
+            sum += size;
+            home += near(server) ? size : 0;
+            most = Math.max(most, size);
+        }
+        sparse = DRAWS * sum < SURE * most * servers.size();
+        homeSparse = DRAWS * home < SURE * most * servers.size();  // for who may not leave the zone
     }
 
     private void admit(long now, Host host, Server known) {
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -52,8 +52,18 @@
         }
     }
 
-    /** What a refusal comes of: the hosts, the tenant's share, or the gateway itself, which can't keep up. */
-    enum Why { HOSTS, SHARE, GATEWAY }
+    /** What a refusal comes of: the hosts, the tenant's share, the gateway itself, which can't keep up, or a bound on what may cross
+        zones. */
+    enum Why { HOSTS, SHARE, GATEWAY, ZONES }
+
+    /** What it weighs for one request to go to a zone; asked at each choice, so that the answer is of the moment. */
+    interface Crossing {
+        /** The part of its share that a host of a zone has for this request, from 0 (not at all) to 1 (as if nothing crossed). */
+        double part(long now, String zone);
+
+        /** Whether it has kept the request from a zone so far. */
+        boolean heldBack();
+    }
 
     /** What the weights of the list mean: nothing, registered size, rough size, size over present load. */
     enum Weights { OFF, NOMINAL, ROUGH, LIVE }
@@ -113,9 +123,14 @@
             long born) { }
 
     /** A client's request; {@code key} and {@code tenant} may be null; {@code left} ends this try; the
-        expected work is 0 where there is no hint. */
+        expected work is 0 where there is no hint; {@code crossing} is null where nothing bounds what crosses zones. */
     record Request(long id, String className, String tenant, Long key, long left, long work, boolean repeated,
-            boolean write) {
+            boolean write, Crossing crossing) {
+        /** Where nothing bounds what crosses zones. */
+        public Request(long id, String className, String tenant, Long key, long left, long work, boolean repeated, boolean write) {
+            this(id, className, tenant, key, left, work, repeated, write, null);
+        }
+
         /** A first try without a hint. */
         public Request(long id, String className, String tenant, Long key, long left) {
             this(id, className, tenant, key, left, 0, false, false);
--- a/src/main/java/mastdrift/State.java
+++ b/src/main/java/mastdrift/State.java
@@ -90,6 +90,7 @@
         final long since;
         final long ends;
         final List<Attempt> attempts = new ArrayList<>(2);
+        final Balancer.Crossing crossing;
         boolean streaming;
         boolean within;  // its tenant's share
         Balancer.Why why = Balancer.Why.HOSTS;
@@ -100,6 +101,7 @@
             this.cls = cls;
             this.key = key;
             keyed = request.key() != null;
+            crossing = request.crossing();
             since = now;
             ends = now + request.left();
         }
--- a/src/main/java/mastdrift/config/Configuration.java
+++ b/src/main/java/mastdrift/config/Configuration.java
@@ -10,11 +10,13 @@
 import mastdrift.membership.Overrides.Override;
 import mastdrift.membership.Version;
 import mastdrift.routing.Route;
+import mastdrift.zones.ZoneSettings;
 
-/** A whole set of files, checked: the gateway's own file and the node lists that it includes. Immutable. */
+/** A whole set of files, checked: the gateway's own file and the node lists that it includes. Immutable. {@code zones} is null where
+    what crosses zones is neither counted nor bounded. */
 public record Configuration(GatewaySettings gateway, List<RequestClass> classes, List<Tenant> tenants,
         Map<String, PoolSettings> pools, List<RadiusSettings> radius, List<Route> routes, List<Override> overrides,
-        Map<String, List<Node>> nodes) {
+        Map<String, List<Node>> nodes, ZoneSettings zones) {
 
     /** Node lists that one gateway's file includes. */
     public static final int FILES_MOST = 64;
--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -25,6 +25,7 @@
 import mastdrift.membership.Overrides.Override;
 import mastdrift.routing.Match;
 import mastdrift.routing.Route;
+import mastdrift.zones.ZoneSettings;
 
 /**
  * Reads the gateway's file and the node lists that it includes (TOML 1.0). All problems are reported at once, each with
@@ -87,11 +88,12 @@
         List<RadiusSettings> radius = radius(root, classes, tenants);
         List<Route> routes = routes(root, pools.keySet(), gateway.zones(), classes, tenants);
         List<Override> overrides = overrides(root);
+        ZoneSettings zones = ZonesReader.read(root, gateway, classes, tenants, pools.keySet());
         root.noMore();
         Map<String, List<Node>> nodes = nodes(pools, gateway.zones(), files);
         fit(root, radius, routes, pools);
         radius.forEach(each -> alike(root, each, routes));
-        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes);
+        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes, zones);
     }
 
     // ---- the gateway's own file
--- a/src/main/java/mastdrift/config/Section.java
+++ b/src/main/java/mastdrift/config/Section.java
@@ -24,6 +24,9 @@
 
     private static final Pattern SPAN = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(us|ms|s|m)");
 
+    private static final Pattern BYTES = Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?)(B|KiB|MiB|GiB|TiB)");
+    private static final List<String> UNITS = List.of("B", "KiB", "MiB", "GiB", "TiB");
+
     private final String file;
     private final String name;
     private final TomlTable table;
@@ -186,6 +189,18 @@
         return span % 1_000_000 == 0 ? span / 1_000_000 + "s" : span % 1000 == 0 ? span / 1000 + "ms" : span + "us";
     }
 
+    /** An amount of bytes with its unit, {@code "200GiB"}; null where it is not there. */
+    public Double bytes(String key) {
+        return value(key, "an amount with a unit (B, KiB, MiB, GiB, TiB) of at most 2^53 bytes", null, value -> {
+            Matcher matcher = BYTES.matcher(value instanceof String text ? text : "");
+            if (!matcher.matches()) {
+                return null;
+            }
+            double bytes = Double.parseDouble(matcher.group(1)) * (1L << 10 * UNITS.indexOf(matcher.group(2)));
+            return bytes <= 1L << 53 ? bytes : null;
+        });
+    }
+
     /** One of these words, which stand in the order of the values that they name. */
     public <T> T word(String key, T absent, List<String> words, List<T> values) {
         return value(key, "one of " + String.join(", ", words), absent, value -> {
--- a/src/main/java/mastdrift/engine/Exchange.java
+++ b/src/main/java/mastdrift/engine/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import mastdrift.zones.PoolZones;
 
 /** A request that was taken, until it has ended and all its attempts have. It lives in one pool. */
 public final class Exchange {
@@ -12,6 +13,7 @@
     final Call call;
     final String className;
     final List<Transport.Attempt> attempts = new ArrayList<>(2);
+    PoolZones.Pass pass;  // null where nobody counts what crosses zones
     Timers.Timer backstop;
     int out;
     boolean late;
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -116,11 +116,12 @@
         open++;
         pool.began();
         exchanges.put(exchange.id, exchange);
+        exchange.pass = pool.pass(ask);
         exchange.backstop = timers.after(kept + BACKSTOP, () -> overdue(exchange));
         event(exchange, now -> {
             pool.own(now);
             pool.module().request(now, new Balancer.Request(exchange.id, ask.className(), ask.tenant(), ask.key(), kept,
-                    ask.work(), ask.repeated(), ask.write()));
+                    ask.work(), ask.repeated(), ask.write(), exchange.pass));
         });
         return exchange.ended ? null : exchange;
     }
@@ -182,6 +183,9 @@
     void refuse(Exchange exchange, long retryAfter, Why why) {
         finish(exchange);
         count.refused(exchange.className, why);
+        if (exchange.pass != null) {
+            exchange.pass.refused(now(), why);
+        }
         exchange.client.refused(retryAfter);
     }
 
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -5,8 +5,10 @@
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.LoadReport;
 import mastdrift.Balancer.Outcome;
+import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Settings;
 import mastdrift.Balancer.Why;
+import mastdrift.zones.PoolZones;
 
 /** A list of hosts, the one module that decides on them, and the transport to them. Drives the module: hands it events and
     carries out what it asks. Everything happens on the loop's thread. */
@@ -24,6 +26,7 @@
     private final Balancer module;
     private final Settings settings;
     private final Transport transport;
+    private PoolZones zones;
     private Source source = Source.TELLS;
     private int living;
     private boolean closed;
@@ -37,6 +40,24 @@
         this.transport = transport;
     }
 
+    /** What crosses zones is counted and bounded from now on; before {@link #start}. */
+    public void zones(PoolZones counted) {
+        zones = counted;
+        transport.count((uid, sent, received) -> counted.stray(ledger.now(), uid, sent, received));
+    }
+
+    PoolZones.Pass pass(Ask ask) {
+        if (zones == null) {
+            return null;
+        }
+        for (RequestClass type : settings.classes()) {
+            if (type.name().equals(ask.className())) {
+                return zones.pass(ledger.now(), type, ask.tenant(), ask.clientZone(), ask.effect());
+            }
+        }
+        return null;
+    }
+
     /** Starts the module with the hosts known so far; throws IllegalArgumentException for settings it can't run with. */
     public void start(Source from, List<Member> known) {
         source = from;
@@ -81,6 +102,9 @@
     /** Likewise, told at a moment that has passed: drains count from it. */
     public void learn(ListForm form, List<Member> members, long toldAt) {
         transport.update(form != ListForm.DELTA, members, toldAt);
+        if (zones != null) {
+            zones.hosts(ledger.now(), form != ListForm.DELTA, members.stream().map(Member::host).toList());
+        }
         ledger.event(null, now -> module.hosts(now, form, members.stream().map(Member::host).toList()));
     }
 
@@ -111,12 +135,22 @@
         private final int number;
         private final String uid;
         private final long sentAt = ledger.now();
+        private final PoolZones.Leg leg;
         private long own;
+        private long sent;
+        private long received;
 
         Sending(Exchange exchange, String uid) {
             this.exchange = exchange;
             this.uid = uid;
             number = exchange.attempts.size();
+            leg = exchange.pass == null ? null : exchange.pass.sent(sentAt, uid, number);
+        }
+
+        @Override
+        public void passed(long out, long in) {
+            sent = out;
+            received = in;
         }
 
         @Override
@@ -136,6 +170,9 @@
                 ledger.served(exchange, answer);
             }
             Outcome told = own > UNSURE && 2 * own > all ? unblamed(outcome) : outcome;
+            if (leg != null) {
+                leg.ended(now, told, sent, received);
+            }
             ledger.event(exchange, at -> {
                 exchange.out--;
                 ledger.forget(exchange);
@@ -208,10 +245,25 @@
     @Override
     public void probe(String uid) {
         long sentAt = ledger.now();
-        transport.probe(uid, (outcome, report) -> {
-            long all = ledger.now() - sentAt;
-            long elapsed = Math.max(all - ledger.turns().own(ledger.now()), Math.min(all, LEAST));
-            ledger.event(null, now -> module.probed(now, uid, outcome, elapsed, report));
+        transport.probe(uid, new Transport.Probed() {
+            private long sent;
+            private long received;
+
+            @Override
+            public void passed(long out, long in) {
+                sent = out;
+                received = in;
+            }
+
+            @Override
+            public void probed(Outcome outcome, LoadReport report) {
+                if (zones != null) {
+                    zones.probed(ledger.now(), uid, outcome, sent, received);
+                }
+                long all = ledger.now() - sentAt;
+                long elapsed = Math.max(all - ledger.turns().own(ledger.now()), Math.min(all, LEAST));
+                ledger.event(null, now -> module.probed(now, uid, outcome, elapsed, report));
+            }
         });
     }
 
--- a/src/main/java/mastdrift/engine/Transport.java
+++ b/src/main/java/mastdrift/engine/Transport.java
@@ -15,13 +15,27 @@
 
         /** A step ahead of the end has come about that this program may have noticed late: a connection, say. */
         default void step() { }
+
+        /** So many bytes passed the socket for it in all; told ahead of its end by a transport that counts. */
+        default void passed(long sent, long received) { }
     }
 
     /** Hears how a probe ended, exactly once. */
     interface Probed {
         void probed(Outcome outcome, LoadReport report);
+
+        /** As for a send. */
+        default void passed(long sent, long received) { }
     }
 
+    /** Hears of bytes that passed a host's socket and belong to no send. */
+    interface Strays {
+        void stray(String uid, long sent, long received);
+    }
+
+    /** Bytes are to be counted: to be called before anything is sent. */
+    default void count(Strays strays) { }
+
     /** A send that may be out. */
     interface Attempt {
         /** Stops waiting; the outcome is REVOKED unless there is one already. */
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -38,6 +39,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Tenant;
@@ -81,6 +83,7 @@
     private final int most;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
+    private Function<InetAddress, String> zones;  // of clients; null where nobody asks
     private final PhaseBounds bounds;
     private final Connections<Connection> connections;
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
@@ -110,6 +113,11 @@
         tenants.stream().map(Tenant::name).forEach(this.tenants::add);
     }
 
+    /** From now on requests say which zone their client's address is in. */
+    public void clientZones(Function<InetAddress, String> byAddress) {
+        zones = byAddress;
+    }
+
     /** Where it listens, once it does. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
@@ -379,16 +387,21 @@
                 long left = Math.min(Math.min(expires * 1000, type.deadline()) - waited, answerBy - ledger.now());
                 long work = Math.max(0, head.size());
                 Long key = key(head.object());
-                Pool pool = router.pool(type, tenant, message, keyed ? key(head.key()) : key);
+                Long effect = keyed ? key(head.key()) : null;
+                Pool pool = router.pool(type, tenant, message, keyed ? effect : key);
                 if (pool == null) {
                     plain(HttpResponseStatus.NOT_FOUND, false);
                     return;
                 }
                 exchange = ledger.take(pool, this, new HttpCall(message.retain()), new Ask(type.name(), tenant, key, left,
-                        head.again(), message.method().equals(HttpMethod.POST), work));
+                        head.again(), message.method().equals(HttpMethod.POST), work, zone(), effect));
             }
         }
 
+        private String zone() {
+            return zones == null || !(channel.remoteAddress() instanceof InetSocketAddress remote) ? "" : zones.apply(remote.getAddress());
+        }
+
         /** Whether it goes on as it came: other than visible ASCII would be changed on the way. */
         private static boolean passable(String text) {
             for (int i = 0; text != null && i < text.length(); i++) {
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -69,13 +69,21 @@
 
         /** A connection for it was opened. */
         default void connected() { }
+
+        /** So many bytes passed for it, told ahead of its end where bytes are counted. */
+        default void passed(long sent, long received) { }
     }
 
     private static final class Peer {
+        private final String uid;
         private InetSocketAddress at;
         private long born;
         private long sendUntil = Long.MAX_VALUE;
         private final Deque<Connection> idle = new ArrayDeque<>();  // the most recently used first
+
+        Peer(String uid) {
+            this.uid = uid;
+        }
     }
 
     private final LongSupplier clock;
@@ -87,6 +95,7 @@
     private final int most;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Consumer<String> faults;
+    private Transport.Strays strays;  // null where bytes aren't counted
     private int connections;
 
     /** Holds {@code most} connections; spans are in microseconds. */
@@ -98,7 +107,7 @@
         this.most = most;
         this.faults = faults;
         idleMost = (long) (idle * IDLE_PART);
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(() -> strays == null ? new NioSocketChannel() : CountedChannel.create())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1000))
                 .handler(new ChannelInitializer<Channel>() {
@@ -113,13 +122,18 @@
         sweeps = loop.scheduleWithFixedDelay(this::closeAged, sweep, sweep, TimeUnit.MICROSECONDS);
     }
 
+    /** Bytes are counted from now on; before anything is sent. */
+    void count(Transport.Strays to) {
+        strays = to;
+    }
+
     /** Hosts that leave, are gone or have started anew lose their idle connections at once. */
     void update(boolean all, List<Member> members, long toldAt) {
         Set<String> named = new HashSet<>();
         for (Member entry : members) {
             Host host = entry.host();
             named.add(host.address());
-            Peer peer = peers.computeIfAbsent(host.address(), uid -> new Peer());
+            Peer peer = peers.computeIfAbsent(host.address(), Peer::new);
             if (host.health() != Health.UP) {
                 leave(peer, toldAt);
             } else {
@@ -182,7 +196,12 @@
                 attempt.end(Outcome.DIAL_FAILED, null);
                 return;
             }
-            dialled.channel().closeFuture().addListener(closed -> connections--);
+            dialled.channel().closeFuture().addListener(closed -> {
+                connections--;
+                if (strays != null) {
+                    stray(peer.uid, dialled.channel());
+                }
+            });
             if (!attempt.over) {
                 attempt.ended.connected();
                 Connection connection = dialled.channel().pipeline().get(Connection.class);
@@ -195,6 +214,20 @@
         });
     }
 
+    /** What passed after the last attempt had ended. */
+    private void stray(String uid, Channel channel) {
+        CountedChannel counted = (CountedChannel) channel;
+        Connection connection = channel.pipeline().get(Connection.class);
+        if (connection != null && connection.attempt != null && !connection.attempt.over) {
+            return;  // it ends in a moment, by this, and tells by itself
+        }
+        long sent = counted.sent() - (connection == null ? 0 : connection.toldSent);
+        long received = counted.received() - (connection == null ? 0 : connection.toldReceived);
+        if (sent + received > 0) {
+            strays.stray(uid, sent, received);
+        }
+    }
+
     private Connection takeIdle(Peer peer) {
         for (Connection idle = peer.idle.poll(); idle != null; idle = peer.idle.poll()) {
             if (idle.channel.isActive() && clock.getAsLong() - idle.idleSince < idleMost) {
@@ -251,6 +284,7 @@
         private Timers.Timer timer;
         private Timers.Timer stall;
         private Channel channel;
+        private Connection connection;  // once it is sending
         private boolean sending;
         private boolean written;
         private boolean over;
@@ -291,6 +325,8 @@
             }
             if (!sending) {
                 message.release();
+            } else if (strays != null) {
+                connection.tell(ended);
             }
             ended.ended(outcome, answer);
         }
@@ -344,6 +380,8 @@
         private boolean answered;
         private int interim;
         private long idleSince;
+        private long toldSent;
+        private long toldReceived;
 
         Connection(Channel channel, Answers answers) {
             this.channel = channel;
@@ -359,6 +397,7 @@
                 return;
             }
             attempt = next;
+            next.connection = this;
             next.sending = true;
             next.message.headers().add(HttpHeaderNames.HOST, name).add(EXPIRES_NAME, Math.max(1, (next.ends - now) / 1000));
             channel.writeAndFlush(next.message).addListener(done -> {
@@ -369,6 +408,13 @@
             });
         }
 
+        private void tell(Ended of) {
+            CountedChannel counted = (CountedChannel) channel;
+            of.passed(counted.sent() - toldSent, counted.received() - toldReceived);
+            toldSent = counted.sent();
+            toldReceived = counted.received();
+        }
+
         /** The connection isn't offered again from here: behind the answer there may be more, which would be taken for
             the answer to the next request. */
         @Override
--- a/src/main/java/mastdrift/net/HttpTransport.java
+++ b/src/main/java/mastdrift/net/HttpTransport.java
@@ -50,6 +50,11 @@
             public void connected() {
                 ended.step();
             }
+
+            @Override
+            public void passed(long sent, long received) {
+                ended.passed(sent, received);
+            }
         });
     }
 
@@ -72,9 +77,23 @@
     public void probe(String uid, Probed probed) {
         boolean given = reports != Reports.OFF;
         FullHttpRequest message = Unchecked.request(HttpMethod.GET, given ? "/status/load" : "/health", Unpooled.EMPTY_BUFFER);
-        hosts.send(uid, message, PROBE_TIMEOUT, (outcome, answer) -> probed.probed(outcome,
-                answer == null || !given ? LoadReport.NONE
-                        : LoadReports.parse(answer.content().toString(StandardCharsets.UTF_8))));
+        hosts.send(uid, message, PROBE_TIMEOUT, new HostPool.Ended() {
+            @Override
+            public void ended(Outcome outcome, FullHttpResponse answer) {
+                probed.probed(outcome, answer == null || !given ? LoadReport.NONE
+                        : LoadReports.parse(answer.content().toString(StandardCharsets.UTF_8)));
+            }
+
+            @Override
+            public void passed(long sent, long received) {
+                probed.passed(sent, received);
+            }
+        });
+    }
+
+    @Override
+    public void count(Strays strays) {
+        hosts.count(strays);
     }
 
     @Override
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Function;
 import mastdrift.engine.Answer;
 import mastdrift.engine.Ask;
 import mastdrift.engine.Client;
@@ -63,6 +64,7 @@
     private final Resends resends;
     private final Conversations conversations = new Conversations(CONVERSATIONS_MOST, CONVERSATION_KEPT);
     private final Drops drops;
+    private Function<InetAddress, String> zones = address -> "";
     private Channel channel;
 
     /** All on the loop's thread. */
@@ -87,6 +89,11 @@
         return bound;
     }
 
+    /** From now on requests say which zone their client's address is in. */
+    public void clientZones(Function<InetAddress, String> byAddress) {
+        zones = byAddress;
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) channel.localAddress();
@@ -169,7 +176,8 @@
         }
         ledger.take(pool, reply, new RadiusCall(request, client.secret(),
                 held == null ? null : held.uid()), new Ask(className, client.tenant(), key,
-                (accounting ? classes.accountingTime : classes.accessTime) - (ledger.now() - ledger.arrived()), false, accounting, 0));
+                (accounting ? classes.accountingTime : classes.accessTime) - (ledger.now() - ledger.arrived()), false, accounting, 0,
+                zones.apply(from.getAddress()), accounting ? key : null));
     }
 
     /** Its Proxy-States go back in their order (RFC 2865, 5.33). */
--- a/src/main/java/mastdrift/radius/edge/RadiusTransport.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusTransport.java
@@ -28,6 +28,7 @@
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.LoadReport;
 import mastdrift.Balancer.Outcome;
+import mastdrift.engine.Answer;
 import mastdrift.engine.Call;
 import mastdrift.engine.Member;
 import mastdrift.engine.Transport;
@@ -62,9 +63,11 @@
     private final Drops drops;
     private final SecureRandom random = new SecureRandom();
     private final Map<String, Peer> peers = new HashMap<>();
+    private Strays strays = (uid, sent, received) -> { };
 
     /** One server: its identifiers, the ports that they are on, and what is out on each. */
     private final class Peer {
+        private final String uid;
         private final Authenticators secret;
         private final Identifiers identifiers = new Identifiers(PORTS_MOST, REST);
         private final List<ChannelFuture> ports = new ArrayList<>();
@@ -74,6 +77,7 @@
         private long sendUntil = Long.MAX_VALUE;
 
         Peer(byte[] secret, Member member) {
+            uid = member.host().address();
             this.secret = new Authenticators(secret);
             at = member.at();
             born = member.host().born();
@@ -109,6 +113,11 @@
         this.drops = drops;
     }
 
+    @Override
+    public void count(Strays to) {
+        strays = to;
+    }
+
     @Override
     public void update(boolean all, List<Member> members, long toldAt) {
         Set<String> named = new HashSet<>();
@@ -216,7 +225,17 @@
             byte[] authenticator = new byte[Packet.AUTHENTICATOR];
             random.nextBytes(authenticator);
             return new Packet(Code.STATUS_SERVER, slot.identifier(), authenticator, List.of());
-        }, (outcome, answer, report) -> probed.probed(outcome, report));
+        }, new Ended() {
+            @Override
+            public void ended(Outcome outcome, Answer answer, LoadReport report) {
+                probed.probed(outcome, report);
+            }
+
+            @Override
+            public void passed(long sent, long received) {
+                probed.passed(sent, received);
+            }
+        });
     }
 
     /** There is none. */
@@ -241,6 +260,8 @@
         private Future<?> timer;
         private Future<?> resend;
         private long pause = RESEND;
+        private long sent;
+        private long received;
         private boolean over;
 
         Sent(String uid, Peer peer, Slot slot, Packet packet, byte[] mark, Ended ended) {
@@ -263,12 +284,23 @@
             if (clock.getAsLong() < peer.sendUntil) {
                 // A port that was opened just now is connected by the loop's next turn.
                 peer.port(slot.port()).addListener((ChannelFutureListener) port ->
-                        port.channel().writeAndFlush(Unpooled.wrappedBuffer(bytes), port.channel().voidPromise()));
+                        port.channel().writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(this::written));
                 resend = loop.schedule(this::write, pause, TimeUnit.MICROSECONDS);
                 pause *= 2;
             }
         }
 
+        private void written(io.netty.util.concurrent.Future<? super Void> done) {
+            if (!done.isSuccess()) {
+                return;  // a port that nobody listens on told of an earlier packet
+            }
+            if (over) {
+                strays.stray(uid, bytes.length, 0);
+            } else {
+                sent += bytes.length;
+            }
+        }
+
         @Override
         public void cancel() {
             end(Outcome.REVOKED, null);
@@ -292,6 +324,7 @@
             if (peer.out.isEmpty() && !peers.containsValue(peer)) {
                 peer.close();
             }
+            ended.passed(sent, received);
             ended.ended(outcome, answer, LoadReport.NONE);
         }
 
@@ -331,17 +364,21 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket datagram) {
+            int bytes = datagram.content().readableBytes();
             Packet answer;
             try {
                 answer = Packet.read(ByteBufUtil.getBytes(datagram.content()));
             } catch (MalformedPacketException e) {
                 drops.drop(Drops.Cause.MALFORMED, datagram.sender(), e.getMessage());
+                strays.stray(peer.uid, 0, bytes);
                 return;
             }
             Sent sent = peer.out.get(new Slot(port, answer.identifier()));
             if (sent == null) {
+                strays.stray(peer.uid, 0, bytes);
                 drops.drop(Drops.Cause.NOT_ASKED, datagram.sender(), "an answer to nothing that is out");
             } else {
+                sent.received += bytes;
                 sent.come(datagram.sender(), answer);
             }
         }
--- a/src/main/java/mastdrift/serve/Changes.java
+++ b/src/main/java/mastdrift/serve/Changes.java
@@ -37,6 +37,10 @@
         if (!inForce.radius().equals(next.radius())) {
             bound.add("[[radius]]: expected the listeners that the gateway started with; start it anew to change them");
         }
+        boolean counted = inForce.zones() != null;
+        if (counted != (next.zones() != null) || counted && !inForce.zones().sameAtStart(next.zones())) {
+            bound.add("[zones]: expected the table, or none, and the files that the gateway started with; start it anew to change them");
+        }
         inForce.pools().forEach((name, pool) -> {
             PoolSettings other = next.pools().get(name);
             if (other != null && !pool.sameAtStart(other)) {
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -62,6 +62,7 @@
 import mastdrift.routing.RouteTable;
 import mastdrift.routing.Router;
 import mastdrift.routing.Traits;
+import mastdrift.zones.Snapshot;
 
 /** A gateway that serves as its files say, and goes on doing so as they change. */
 public final class Service implements AutoCloseable {
@@ -100,6 +101,7 @@
     private final Watcher watcher;
     private final Secrets secrets;
     private Configuration started;
+    private ZoneService zones;  // null where what crosses zones is neither counted nor bounded
     private GatewaySettings gateway;
     private List<RadiusSettings> listeners = List.of();
     private volatile StatusFile status;
@@ -203,6 +205,11 @@
         return loop.submit(() -> read.apply(ledger.count())).syncUninterruptibly().getNow();
     }
 
+    /** What crossed zones so far, read on the loop's thread; waits. Null where nobody counts. */
+    public Snapshot crossed() {
+        return loop.submit(() -> zones == null ? null : zones.snapshot()).syncUninterruptibly().getNow();
+    }
+
     private void log(String line) {
         events.event(Level.INFO, "gateway", line);
     }
@@ -280,6 +287,9 @@
                     gateway.bounds(), this::log);
             listeners = next.radius();
             listeners.forEach(each -> radius.add(radiusFront(next, each)));
+            zones(next);
+        } else if (zones != null) {
+            zones.configure(next);
         }
         pools.forEach((name, served) -> {
             if (!served.retired && !next.pools().containsKey(name)) {
@@ -295,6 +305,15 @@
         router.swap(new RouteTable(next.routes()));
     }
 
+    private void zones(Configuration next) {
+        if (next.zones() != null) {
+            zones = new ZoneService(file, loop, clock::now, gateway, next.zones(),
+                    line -> events.event(Level.WARN, "zones", line));
+            clients.clientZones(zones::zone);
+            radius.forEach(front -> front.clientZones(zones::zone));
+        }
+    }
+
     private static void learn(Served served, Ready list, long toldAt) {
         if (served == null || served.retired) {
             return;  // told while the pool was taken out
@@ -311,6 +330,9 @@
         DiscoverySource discovery = settings.discovery() == null ? null
                 : new DiscoverySource(loop, settings.name(), Addresses.parse(settings.discovery()), control, ledger::arrived,
                         this::log);
+        if (zones != null) {
+            pool.zones(zones.pool(settings.name()));
+        }
         pool.start(Source.TELLS, List.of());
         if (discovery != null) {
             discovery.watch(true);
@@ -349,6 +371,9 @@
             loop.schedule(() -> forget(name, served), RETIRE_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             pools.remove(name, served);
+            if (zones != null) {
+                zones.closed(name);
+            }
         }
     }
 
@@ -415,6 +440,10 @@
     public void close() {
         watcher.close();
         control.close();
+        if (zones != null && !loop.isShuttingDown()) {
+            loop.submit(zones::write).syncUninterruptibly();
+            zones.close();
+        }
         loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- /dev/null
+++ b/src/main/java/mastdrift/zones/Book.java
@@ -0,0 +1,50 @@
+package mastdrift.zones;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** All counts by flow, since the book was begun. Bounded: flows beyond are counted together by their pair of zones, so that sums
+    stay exact. */
+public final class Book {
+
+    /** Flows that are told apart. */
+    public static final int FLOWS_MOST = 4_096;
+
+    private final int most;
+    private final Map<Flow, Counts> flows = new LinkedHashMap<>();
+
+    /** An empty book. */
+    public Book() {
+        this(FLOWS_MOST);
+    }
+
+    Book(int most) {
+        this.most = most;
+    }
+
+    /** The counts of a flow, which go on counting. */
+    Counts of(Flow flow) {
+        Counts counts = flows.get(flow);
+        if (counts == null) {
+            Flow key = flows.size() < most ? flow : flow.folded();
+            counts = flows.computeIfAbsent(key, any -> new Counts());
+        }
+        return counts;
+    }
+
+    /** Adds what was counted earlier. */
+    void add(Map<Flow, Counts> earlier) {
+        earlier.forEach((flow, counts) -> of(flow).add(counts));
+    }
+
+    /** A copy, which counts no further. */
+    Map<Flow, Counts> copy() {
+        Map<Flow, Counts> copy = new LinkedHashMap<>();
+        flows.forEach((flow, counts) -> {
+            Counts own = new Counts();
+            own.add(counts);
+            copy.put(flow, own);
+        });
+        return copy;
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/zones/Window.java
@@ -0,0 +1,45 @@
+package mastdrift.zones;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.ZonedDateTime;
+import java.time.temporal.ChronoUnit;
+import java.util.Locale;
+
+/** The windows that budgets are for, in UTC. */
+public enum Window {
+    /** From a full minute to the next. */
+    MINUTE(ChronoUnit.MINUTES),
+    /** Likewise. */
+    HOUR(ChronoUnit.HOURS),
+    /** From midnight to midnight. */
+    DAY(ChronoUnit.DAYS),
+    /** A calendar month. */
+    MONTH(ChronoUnit.MONTHS);
+
+    private final ChronoUnit unit;
+
+    Window(ChronoUnit unit) {
+        this.unit = unit;
+    }
+
+    /** As files write it. */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** The beginning of the window that holds a time; milliseconds since 1970. */
+    public long begin(long millis) {
+        return begun(millis).toInstant().toEpochMilli();
+    }
+
+    /** Its end, which is the next one's beginning. */
+    public long end(long millis) {
+        return begun(millis).plus(1, unit).toInstant().toEpochMilli();
+    }
+
+    private ZonedDateTime begun(long millis) {
+        ZonedDateTime at = Instant.ofEpochMilli(millis).atZone(ZoneOffset.UTC);
+        return unit == ChronoUnit.MONTHS ? at.truncatedTo(ChronoUnit.DAYS).withDayOfMonth(1) : at.truncatedTo(unit);
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/zones/ZoneSettings.java
@@ -0,0 +1,29 @@
+package mastdrift.zones;
+
+import java.util.List;
+
+/**
+ * What the operator says of zones.
+ *
+ * @param limits budgets, by their names each once
+ * @param prices by pair of zones
+ * @param networks zones of clients
+ * @param giveWay classes for which service goes before budgets, the first one first
+ * @param calm microseconds without trouble before a class is held again
+ * @param reportFile where the report is written, or null
+ * @param stateFolder where counts and budgets outlive the process, or null
+ * @param sharedFolder where gateways read one another's words, or null
+ */
+public record ZoneSettings(List<Limit> limits, List<Price> prices, List<Network> networks, List<String> giveWay, long calm,
+        String reportFile, String stateFolder, String sharedFolder) {
+
+    /** A client network as the file has it: an address in digits, bits, a zone. */
+    public record Network(String address, int prefix, String zone) { }
+
+    /** Whether what is bound at the start is the same: the files. */
+    public boolean sameAtStart(ZoneSettings other) {
+        return String.valueOf(reportFile).equals(String.valueOf(other.reportFile))
+                && String.valueOf(stateFolder).equals(String.valueOf(other.stateFolder))
+                && String.valueOf(sharedFolder).equals(String.valueOf(other.sharedFolder));
+    }
+}
--- a/src/test/java/mastdrift/files/WatcherTest.java
+++ b/src/test/java/mastdrift/files/WatcherTest.java
@@ -51,8 +51,9 @@
         return new Watcher(file, new Watcher.Taker() {
             @Override
             public List<String> take(Configuration configuration) {
+                List<String> now = verdict;  // before anybody hears of it and changes what is next
                 taken.add(configuration);
-                return verdict;
+                return now;
             }
 
             @Override
