--- a/src/test/java/mastdrift/CrossingTest.java
+++ b/src/test/java/mastdrift/CrossingTest.java
@@ -54,6 +54,7 @@
     @Test
     void aPartIsAPartOfTheShare() {
         gateway.start(8);
+        gateway.advance(2_000_000);  // until then shares are of the list alone
         double[][] table = {{1, 0.3 / 1.3}, {0.5, 0.15 / 1.15}, {0, 0}};
         for (double[] row : table) {
             parts.put("z1", row[0]);
