Zones in the laboratory, and a command that shows them: experiments, mastdrift zones

Gateways of the model have budgets and read one another's words; arms differ by budget, sharing, giving way. The command reads reports of several gateways as text, CSV or JSON, and draws a picture.

--- a/src/main/java/mastdrift/cli/Commands.java
+++ b/src/main/java/mastdrift/cli/Commands.java
@@ -25,7 +25,7 @@
 /** The commands and their options. */
 @Command(name = "mastdrift", description = "A gateway that spreads requests over pools of hosts.",
         subcommands = {Commands.Serve.class, Commands.Check.class, Commands.Plan.class, Commands.Demo.class, LoadCommand.class, LabCommand.class,
-            Commands.Adapter.class}, mixinStandardHelpOptions = true)
+            ZonesCommand.class, Commands.Adapter.class}, mixinStandardHelpOptions = true)
 final class Commands implements Runnable {
 
     private static final int REFUSED = 1;
@@ -39,7 +39,7 @@
 
     /** Runs one command; returns its exit status. */
     static int run(String[] args, PrintStream out, PrintStream err) {
-        return new CommandLine(new Commands()).setOut(new PrintWriter(out, true, StandardCharsets.UTF_8))
+        return new CommandLine(new Commands()).setCaseInsensitiveEnumValuesAllowed(true).setOut(new PrintWriter(out, true, StandardCharsets.UTF_8))
                 .setErr(new PrintWriter(err, true, StandardCharsets.UTF_8)).execute(args);
     }
 
--- a/src/main/java/mastdrift/cli/LabCommand.java
+++ b/src/main/java/mastdrift/cli/LabCommand.java
@@ -133,13 +133,14 @@
         }
 
         private static void print(PrintWriter to, Results results) {
-            to.printf("%-12s %6s %9s %9s %9s %9s %9s %9s %9s  %s%n", "arm", "runs", "goodput", "refused", "failed", "attempts", "p50 ms",
-                    "p99 ms", "p99.9 ms", "rules broken: answers, twice, drains, fallen");
+            to.printf("%-12s %6s %9s %9s %9s %9s %9s %9s %9s %9s  %s%n", "arm", "runs", "goodput", "refused", "failed", "attempts", "crossed",
+                    "p50 ms", "p99 ms", "p99.9 ms", "rules broken: answers, twice, drains, fallen");
             for (String arm : results.arms()) {
                 List<RunResult> runs = results.of(arm);
-                to.printf(Locale.ROOT, "%-12s %6d %9.4f %9.4f %9.4f %9.3f %9.2f %9.2f %9.2f  %d, %d, %d, %d%n", arm, runs.size(),
+                to.printf(Locale.ROOT, "%-12s %6d %9.4f %9.4f %9.4f %9.3f %9.4f %9.2f %9.2f %9.2f  %d, %d, %d, %d%n", arm, runs.size(),
                         mean(runs, Experiment.Quantity.GOODPUT), mean(runs, Experiment.Quantity.REFUSED),
                         mean(runs, Experiment.Quantity.FAILED), mean(runs, Experiment.Quantity.ATTEMPTS),
+                        mean(runs, Experiment.Quantity.CROSSED),
                         mean(runs, Experiment.Quantity.P50) / 1e3, mean(runs, Experiment.Quantity.P99) / 1e3,
                         mean(runs, Experiment.Quantity.P999) / 1e3, sum(runs, "broken_1"), sum(runs, "broken_2"),
                         sum(runs, "broken_3"), sum(runs, "broken_4"));
--- /dev/null
+++ b/src/main/java/mastdrift/cli/ZonesCommand.java
@@ -0,0 +1,63 @@
+package mastdrift.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import mastdrift.lab.report.ZonePicture;
+import mastdrift.zones.Snapshot;
+import mastdrift.zones.edge.ZoneReports;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** What crossed zones, from the files that gateways write. */
+@Command(name = "zones", description = "Shows what crossed zones, why, and what is left of budgets, by the reports or states of gateways.",
+        mixinStandardHelpOptions = true)
+final class ZonesCommand implements Callable<Integer> {
+
+    private static final int REFUSED = 1;
+
+    /** How it is written. */
+    enum Form { TEXT, CSV, JSON }
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Parameters(arity = "1..64", paramLabel = "FILE", description = "reports (report_file) or states of gateways; a file is a moment of one gateway")
+    private List<Path> files;
+
+    @Option(names = "--form", paramLabel = "FORM", defaultValue = "TEXT", description = "text, csv or json (${DEFAULT-VALUE})")
+    private Form form;
+
+    @Option(names = "--picture", paramLabel = "FILE", description = "writes bytes by class and cause to an SVG file too")
+    private Path picture;
+
+    @Override
+    public Integer call() {
+        PrintWriter out = spec.commandLine().getOut();
+        List<Snapshot> snapshots = new ArrayList<>();
+        try {
+            for (Path file : files) {
+                snapshots.add(ZoneReports.read(file));
+            }
+            switch (form) {
+                case CSV -> out.print(ZoneReports.csv(snapshots));
+                case JSON -> out.print(ZoneReports.json(snapshots));
+                default -> ZoneReports.lines(snapshots).forEach(out::println);
+            }
+            out.flush();
+            if (picture != null) {
+                Files.writeString(picture, ZonePicture.svg(ZoneReports.sum(snapshots)));
+            }
+            return 0;
+        } catch (IOException e) {
+            spec.commandLine().getErr().println(e.getMessage());
+            return REFUSED;
+        }
+    }
+}
--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -88,7 +88,7 @@
         List<RadiusSettings> radius = radius(root, classes, tenants);
         List<Route> routes = routes(root, pools.keySet(), gateway.zones(), classes, tenants);
         List<Override> overrides = overrides(root);
-        ZoneSettings zones = ZonesReader.read(root, gateway, classes, tenants, pools.keySet());
+        ZoneSettings zones = ZonesReader.read(root, gateway.zone(), gateway.zones(), classes, tenants, pools.keySet());
         root.noMore();
         Map<String, List<Node>> nodes = nodes(pools, gateway.zones(), files);
         fit(root, radius, routes, pools);
--- a/src/main/java/mastdrift/config/ZonesReader.java
+++ b/src/main/java/mastdrift/config/ZonesReader.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -16,29 +17,34 @@
 import mastdrift.zones.Window;
 import mastdrift.zones.ZoneSettings;
 
-/** Reads the table {@code [zones]}; docs/operations/zones.md lists its keys. */
-final class ZonesReader {
+/** Reads the table {@code [zones]}, of a gateway's file and of an experiment's; docs/operations/zones.md lists its keys. */
+public final class ZonesReader {
 
     private static final int MOST = 64;
     private static final Pattern NETWORK = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3})/(\\d{1,2})");
 
     private final Section section;
-    private final GatewaySettings gateway;
+    private final String own;
+    private final List<String> zones;
     private final List<String> classes;
     private final List<String> tenants;
     private final List<String> pools;
 
-    private ZonesReader(Section section, GatewaySettings gateway, List<RequestClass> classes, List<Tenant> tenants, Set<String> pools) {
+    private ZonesReader(Section section, String own, List<String> zones, List<RequestClass> classes, List<Tenant> tenants,
+            Collection<String> pools) {
         this.section = section;
-        this.gateway = gateway;
+        this.own = own;
+        this.zones = zones;
         this.classes = classes.stream().map(RequestClass::name).toList();
         this.tenants = tenants.stream().map(Tenant::name).toList();
         this.pools = List.copyOf(pools);
     }
 
-    /** Null where there is no such table: what crosses zones is neither counted nor bounded then. */
-    static ZoneSettings read(Section root, GatewaySettings gateway, List<RequestClass> classes, List<Tenant> tenants, Set<String> pools) {
-        return root.has("zones") ? new ZonesReader(root.section("zones"), gateway, classes, tenants, pools).settings() : null;
+    /** Null where there is no such table: what crosses zones is neither counted nor bounded then. {@code own} is the gateway's zone, or null
+        for gateways of all. */
+    public static ZoneSettings read(Section root, String own, List<String> zones, List<RequestClass> classes, List<Tenant> tenants,
+            Collection<String> pools) {
+        return root.has("zones") ? new ZonesReader(root.section("zones"), own, zones, classes, tenants, pools).settings() : null;
     }
 
     private ZoneSettings settings() {
@@ -83,7 +89,7 @@
         Unit unit = bytes != null ? Unit.BYTES : requests != null ? Unit.REQUESTS : Unit.MONEY;
         double amount = bytes != null ? bytes : requests != null ? requests : money != null ? money : 0;
         String to = zone(each, "to");
-        if (gateway.zone().equals(to)) {
+        if (to != null && to.equals(own)) {
             each.problem("to", "expected another zone than the gateway's own, found \"" + to + "\"");
         }
         Limit limit = new Limit(name, window == null ? Window.MONTH : window, unit, amount, to, Tables.among(each, "class", classes),
@@ -95,8 +101,8 @@
 
     private String zone(Section each, String key) {
         String zone = each.text(key);
-        if (zone != null && !gateway.zones().contains(zone)) {
-            each.problem(key, Tables.expectedOne("zones", gateway.zones(), zone));
+        if (zone != null && !zones.contains(zone)) {
+            each.problem(key, Tables.expectedOne("zones", zones, zone));
         }
         return zone;
     }
--- a/src/main/java/mastdrift/lab/Experiment.java
+++ b/src/main/java/mastdrift/lab/Experiment.java
@@ -34,6 +34,10 @@
         FAILED("failed", false),
         /** Attempts for each request. */
         ATTEMPTS("attempts", false),
+        /** Part of the attempts that left their gateway's zone. */
+        CROSSED("crossed", false),
+        /** The most that any window went beyond the first budget, as a part of it. */
+        OVERRUN("budget_overrun", false),
         /** Median latency. */
         P50("p50", true),
         /** 99th percentile of latency. */
@@ -75,6 +79,8 @@
                 case REFUSED -> run.count("refused") / asked;
                 case FAILED -> (run.count("failed") + run.count("unanswered")) / asked;
                 case ATTEMPTS -> run.count("attempts") / asked;
+                case CROSSED -> run.count("attempts_across_zones") / Math.max(1.0, run.count("attempts"));
+                case OVERRUN -> run.count("budget_overrun_ppm") / 1e6;
                 case P50 -> run.quantile("p50");
                 case P99 -> run.quantile("p99");
                 case P999 -> run.quantile("p999");
--- a/src/main/java/mastdrift/lab/ExperimentReader.java
+++ b/src/main/java/mastdrift/lab/ExperimentReader.java
@@ -21,6 +21,7 @@
 import mastdrift.config.Problems;
 import mastdrift.config.Section;
 import mastdrift.config.Tables;
+import mastdrift.config.ZonesReader;
 import mastdrift.lab.Experiment.Arm;
 import mastdrift.lab.Experiment.Limit;
 import mastdrift.lab.Experiment.Quantity;
@@ -36,6 +37,7 @@
 import mastdrift.lab.model.Scenario.What;
 import mastdrift.routing.Match;
 import mastdrift.routing.Route;
+import mastdrift.zones.ZoneSettings;
 
 /** Reads an experiment's file. All that is wrong with it is said at once, each with its place. */
 public final class ExperimentReader {
@@ -121,12 +123,16 @@
         List<Route> routes = routes(root, classNames, pools);
         List<Population> populations = populations(root, classes, tenants, site.zones(), length, byModel);
         List<Fault> faults = faults(root, site, kinds, pools, groups, length, byModel);
-        Scenario scenario = new Scenario(site, kinds, groups, classes, works, tenants, routes, populations, faults, length, warm);
+        Scenario scenario = new Scenario(site, kinds, groups, classes, works, tenants, routes, populations, faults, length, warm,
+                zones(root, site.zones(), classes, tenants, pools));
         int nodes = groups.stream().mapToInt(Scenario.Group::count).sum();
         if (nodes > (byModel ? NODES_MOST : LOOPBACK_NODES_MOST)) {
             root.problem("nodes", "expected at most " + (byModel ? NODES_MOST : LOOPBACK_NODES_MOST + " over loopback") + " nodes, found "
                     + nodes);
         }
+        if (!byModel && scenario.zones() != null) {
+            root.problem("zones", "expected none over loopback, found some");
+        }
         if (!byModel && site.gateways() > LOOPBACK_GATEWAYS_MOST) {
             root.problem("site", "expected at most " + LOOPBACK_GATEWAYS_MOST + " gateways over loopback, found " + site.gateways());
         }
@@ -136,6 +142,22 @@
         return new Experiment(name, byModel, seeds, arms, limits);
     }
 
+    private static Scenario.Zones zones(Section root, List<String> zones, List<RequestClass> classes, List<Tenant> tenants,
+            List<String> pools) {
+        ZoneSettings settings = ZonesReader.read(root, null, zones, classes, tenants, pools);
+        Section section = root.section("crossing");
+        Scenario.Zones crossing = settings == null ? null : new Scenario.Zones(settings, section.flag("shared", false),
+                section.whole("request_bytes", 500, 1, 1 << 20), section.whole("answer_bytes", 1_000, 1, 1 << 20));
+        if (settings == null && root.has("crossing")) {
+            root.problem("crossing", "expected a table zones beside it, found none");
+        }
+        if (settings != null && (settings.reportFile() != null || settings.stateFolder() != null || settings.sharedFolder() != null)) {
+            root.problem("zones", "expected no files in an experiment, found some");
+        }
+        section.noMore();
+        return crossing;
+    }
+
     private Scenario.Site site(Section section) {
         List<String> zones = section.texts("zones", 16);
         if (zones.isEmpty()) {
@@ -349,7 +371,7 @@
             if (!byModel && (!policy.equals("module") || breaks != Policy.Breaks.NOTHING)) {
                 section.problem("policy", "expected module and nothing that breaks over loopback, found " + policy);
             }
-            List<Object> difference = Arrays.asList(policy, breaks, own.site(), rates(own));
+            List<Object> difference = Arrays.asList(policy, breaks, own.site(), rates(own), own.zones());
             int same = differences.indexOf(difference);
             if (same >= 0) {
                 section.problem("expected something that differs from arm " + arms.get(same).name() + ", found nothing");
@@ -414,7 +436,25 @@
                 population.parts(), population.keys(), follows == null ? population.tries() : new Tries(population.tries().most(),
                         population.tries().pause(), population.tries().growth(), population.tries().jitter(), follows))).toList();
         return new Scenario(own, scenario.kinds(), scenario.groups(), scenario.classes(), scenario.works(), scenario.tenants(),
-                scenario.routes(), populations, scenario.faults(), scenario.length(), scenario.warm());
+                scenario.routes(), populations, scenario.faults(), scenario.length(), scenario.warm(), budgets(section, scenario.zones()));
+    }
+
+    /** The budgets' amounts times so much, sharing or not, giving way or not, or no counting at all. */
+    private static Scenario.Zones budgets(Section section, Scenario.Zones zones) {
+        double times = section.real("budget_times", 1, 0, 1e9);
+        boolean on = section.flag("zones", zones != null);
+        if (zones == null) {
+            if (on || section.has("budget_times")) {
+                section.problem("zones", "expected a table zones in the file, found none");
+            }
+            return null;
+        }
+        boolean shared = section.flag("shared", zones.shared());
+        boolean gives = section.flag("gives", true);
+        ZoneSettings all = zones.settings();
+        List<mastdrift.zones.Limit> limits = all.limits().stream().map(limit -> limit.times(times)).toList();
+        return !on ? null : new Scenario.Zones(new ZoneSettings(limits, all.prices(), all.networks(), gives ? all.giveWay() : List.of(), all.calm(), null, null,
+                null), shared, zones.requestBytes(), zones.answerBytes());
     }
 
     private static List<Limit> limits(Section root, List<String> arms) {
--- a/src/main/java/mastdrift/lab/model/ModelClients.java
+++ b/src/main/java/mastdrift/lab/model/ModelClients.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.engine.Ask;
 import mastdrift.lab.draw.Arrivals;
@@ -84,7 +85,7 @@
             }
             long endsAt = time.now() + asked.deadline();
             Ask ask = new Ask(asked.className(), asked.tenant(), hash(key), asked.deadline() - DELAY,
-                    tries > 1 && scenario.site().marksRetry(), false, 0);
+                    tries > 1 && scenario.site().marksRetry(), false, 0, "", type.repeat() == Repeat.KEYED ? effect() : null);
             Try one = new Try(this, gateway, ask, endsAt, watch, time, DELAY, trace, world.twice(), this::ended);
             if (trace != Trace.NONE) {
                 trace.step(time.now() - VirtualTime.BEGIN, number, population.name(), "try " + tries + " of "
--- a/src/main/java/mastdrift/lab/model/ModelGateway.java
+++ b/src/main/java/mastdrift/lab/model/ModelGateway.java
@@ -24,12 +24,18 @@
 import mastdrift.routing.RouteTable;
 import mastdrift.routing.Router;
 import mastdrift.routing.Traits;
+import mastdrift.zones.Escrow;
+import mastdrift.zones.Snapshot;
+import mastdrift.zones.Zoning;
 
 /** A gateway: the ledger, the router, the pools with their modules and, where the site says so, the membership, as they are in
     service. It may be killed and start again knowing nothing. */
 final class ModelGateway {
 
     private static final int OPEN_MOST = 20_000;
+    private static final long TICK = 100_000;
+    // 2026-01-01T00:00:00Z, so that windows begin with the run.
+    private static final long WALL = 1_767_225_600_000L;
 
     /** What a gateway is made of by the world that it is in. */
     interface Parts {
@@ -50,6 +56,7 @@
         private final Map<String, Pool> pools = new LinkedHashMap<>();
         private final Membership membership;
         private final Map<String, Boolean> somebody = new HashMap<>();
+        private final Zoning zoning;
         private boolean over;
         private long busyUntil;
 
@@ -62,6 +69,8 @@
             ledger = new Ledger(timers, time, OPEN_MOST, line -> { });
             router.swap(new RouteTable(scenario.routes()));
             membership = scenario.site().membership() ? new Membership() : null;
+            zoning = scenario.zones() == null ? null : new Zoning("gateway-" + ModelGateway.this.number, zone, scenario.site().gateways(),
+                    scenario.zones().settings(), time.now(), wall());
             Map<String, Membership.Filed> filed = new HashMap<>();
             for (String name : poolNames) {
                 Streams own = streams.below("life-" + number).below(name);
@@ -70,13 +79,24 @@
                         parts.transport(ModelGateway.this, timers, settings, own));
                 pools.put(name, pool);
                 filed.put(name, new Membership.Filed(List.of(), settings.rules().fallSpan(), settings.rules().warmWithin()));
+                if (zoning != null) {
+                    pool.zones(zoning.pool(name));
+                }
                 pool.start(Source.TELLS, List.of());
             }
+            if (zoning != null) {
+                tick(timers);
+            }
             if (membership != null) {
                 membership.files(time.now(), filed);
             }
         }
 
+        private void tick(Timers timers) {
+            zoning.tick(time.now(), wall());
+            timers.after(TICK, () -> tick(timers));
+        }
+
         private void told(ListForm form, List<Host> hosts) {
             Map<String, List<Host>> byPool = new LinkedHashMap<>();
             if (form != ListForm.DELTA) {
@@ -142,6 +162,7 @@
     private final Map<String, Integer> indices;
     private Life life;
     private int lives;
+    private double spentBefore;
 
     ModelGateway(VirtualTime time, Scenario scenario, Parts parts, Streams streams, int number, List<String> poolNames,
             Map<String, String> poolOf, Map<String, Integer> indices) {
@@ -180,6 +201,7 @@
     /** Dies: what it holds is lost, and its connections break. */
     void kill() {
         if (life != null) {
+            spentBefore += spentByLife();
             life.over = true;
             life = null;
         }
@@ -190,6 +212,36 @@
         return lives;
     }
 
+    private long wall() {
+        return WALL + (time.now() - VirtualTime.BEGIN) / 1_000;
+    }
+
+    private double spentByLife() {
+        List<Snapshot.Budget> budgets = life == null || life.zoning == null ? List.of() : life.zoning.snapshot(time.now()).budgets();
+        return budgets.isEmpty() ? 0 : budgets.get(0).spent();
+    }
+
+    /** What it has used of the first budget in this window, in all its lives. */
+    double spent() {
+        return spentBefore + spentByLife();
+    }
+
+    /** A window is over. */
+    void windowOver() {
+        spentBefore = 0;
+    }
+
+    /** Its word on budgets, or null where it is down. */
+    Escrow.Word word() {
+        return life == null ? null : life.zoning.word(time.now());
+    }
+
+    void heard(Escrow.Word word) {
+        if (life != null) {
+            life.zoning.heard(word);
+        }
+    }
+
     void told(ListForm form, List<Host> hosts) {
         life.told(form, hosts);
     }
--- a/src/main/java/mastdrift/lab/model/ModelTransport.java
+++ b/src/main/java/mastdrift/lab/model/ModelTransport.java
@@ -40,10 +40,13 @@
     private final long[] usedAt;
     private final int[] idle;
     private final int[] epoch;
+    private final long requestBytes;
+    private final long answerBytes;
 
     /** {@code gated} is false only where the laboratory shows that it finds who breaks the third rule. */
     ModelTransport(VirtualTime time, Timers timers, ModelNetwork network, ModelNetwork.Way way, Watch watch, Trace trace,
-            Links links, long grace, int gateway, String zone, boolean gated, ModelNode[] nodes, Map<String, Integer> indices) {
+            Links links, long grace, int gateway, String zone, boolean gated, ModelNode[] nodes, Map<String, Integer> indices,
+            Scenario.Zones zones) {
         this.time = time;
         this.timers = timers;
         this.network = network;
@@ -62,6 +65,8 @@
         usedAt = new long[nodes.length];
         idle = new int[nodes.length];
         epoch = new int[nodes.length];
+        requestBytes = zones == null ? 0 : zones.requestBytes();
+        answerBytes = zones == null ? 0 : zones.answerBytes();
     }
 
     @Override
@@ -133,6 +138,7 @@
         private final Try asked;
         private final Ended ended;
         private Timers.Timer timer;
+        private boolean written;
         private boolean over;
 
         Flight(ModelNode node, Try asked, Ended ended) {
@@ -175,6 +181,7 @@
 
         private void write(boolean fresh) {
             int started = node.epoch();
+            written = true;
             if (asked != null) {
                 watch.sent(gateway, node.index(), asked.request(), node.uid());
             }
@@ -264,6 +271,8 @@
                 idle[node.index()]++;
                 usedAt[node.index()] = time.now();
             }
+            boolean answered = outcome == Outcome.DELIVERED || outcome == Outcome.ERROR || outcome == Outcome.SHED;
+            ended.passed(written ? requestBytes : 0, answered ? answerBytes : 0);
             ended.ended(outcome, outcome == Outcome.DELIVERED ? new ModelAnswer(node) : null, LoadReport.NONE);
         }
 
--- a/src/main/java/mastdrift/lab/model/Scenario.java
+++ b/src/main/java/mastdrift/lab/model/Scenario.java
@@ -11,6 +11,7 @@
 import mastdrift.lab.draw.Tries;
 import mastdrift.lab.draw.Work;
 import mastdrift.routing.Route;
+import mastdrift.zones.ZoneSettings;
 
 /**
  * What is played: sites, nodes, clients and what goes wrong, whoever decides. Times in microseconds where nothing else is said.
@@ -26,9 +27,21 @@
  * @param faults what goes wrong, in the order of their beginnings
  * @param length how long requests come
  * @param warm the first part of that, which is played and not counted
+ * @param zones what gateways do about traffic that crosses zones; null for nothing
  */
 public record Scenario(Site site, List<Kind> kinds, List<Group> groups, List<RequestClass> classes, Map<String, Work> works,
-        List<Tenant> tenants, List<Route> routes, List<Population> populations, List<Fault> faults, long length, long warm) {
+        List<Tenant> tenants, List<Route> routes, List<Population> populations, List<Fault> faults, long length, long warm,
+        Zones zones) {
+
+    /**
+     * What gateways do about traffic that crosses zones.
+     *
+     * @param settings as in an operator's file, but for files
+     * @param shared whether gateways read one another's words, a second old at most
+     * @param requestBytes of a request on the wire
+     * @param answerBytes of an answer
+     */
+    public record Zones(ZoneSettings settings, boolean shared, long requestBytes, long answerBytes) { }
 
     /**
      * The site.
--- a/src/main/java/mastdrift/lab/model/World.java
+++ b/src/main/java/mastdrift/lab/model/World.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import mastdrift.Balancer;
@@ -26,6 +27,8 @@
 import mastdrift.lab.draw.Streams;
 import mastdrift.lab.model.Scenario.Fault;
 import mastdrift.lab.model.Scenario.Where;
+import mastdrift.zones.Escrow;
+import mastdrift.zones.Limit;
 import org.apache.commons.rng.sampling.ListSampler;
 
 /** A scenario played once, by one policy, with one seed. All that is drawn depends on the seed and not on the policy, so that
@@ -33,6 +36,7 @@
 public final class World {
 
     private static final long STEP = 100_000;
+    private static final long WORDS_EVERY = 1_000_000;
     private static final Links LINKS = new Links(250_000, 15_000_000, 1);
     // What a gateway remembers of a node, for a bound on memory: the module's window of samples, shares, connections.
     private static final long NODE_BYTES = 1_200;
@@ -134,10 +138,44 @@
         public ModelTransport transport(ModelGateway gateway, Timers timers, Settings settings, Streams own) {
             return new ModelTransport(time, timers, network, network.new Way(own.stream("network")), watch, trace, LINKS,
                     settings.rules().drainGrace(), gateway.number(), gateway.zone(), policy.breaks() != Policy.Breaks.DRAIN,
-                    nodes, indices);
+                    nodes, indices, scenario.zones());
         }
     }
 
+    // ---- budgets of what crosses zones
+
+    private void budgets() {
+        if (scenario.zones() == null) {
+            return;
+        }
+        if (scenario.zones().shared()) {
+            time.after(WORDS_EVERY, this::words);
+        }
+        if (!scenario.zones().settings().limits().isEmpty()) {
+            Limit first = scenario.zones().settings().limits().get(0);
+            long span = (first.window().end(0) - first.window().begin(0)) * 1_000;
+            for (long end = span; end <= scenario.length(); end += span) {
+                time.after(end - 1_000, () -> window(first.amount()));
+            }
+        }
+    }
+
+    private void words() {
+        List<Escrow.Word> words = gateways.stream().map(ModelGateway::word).filter(Objects::nonNull).toList();
+        time.after(WORDS_EVERY / 2, () -> gateways.forEach(gateway -> words.forEach(gateway::heard)));
+        time.after(WORDS_EVERY, this::words);
+    }
+
+    /** A millisecond ahead of its end. */
+    private void window(double amount) {
+        double spent = gateways.stream().mapToDouble(ModelGateway::spent).sum();
+        gateways.forEach(ModelGateway::windowOver);
+        Map<String, Long> counts = measured.counts();
+        counts.merge("budget_windows", 1L, Long::sum);
+        counts.merge("budget_spent", Math.round(spent), Long::sum);
+        counts.merge("budget_overrun_ppm", Math.round(Math.max(0, spent - amount) / Math.max(1, amount) * 1e6), Math::max);
+    }
+
     /** Plays it to its end, or until it is told to stop; returns null where it was stopped. */
     public Measured run(BooleanSupplier stopped) {
         gateways.forEach(ModelGateway::start);
@@ -147,6 +185,7 @@
             schedule(scenario.faults().get(i), streams.below("fault-" + i));
         }
         populations.forEach(ModelClients::start);
+        budgets();
         long rest = scenario.populations().stream().mapToLong(population -> population.tries().most()
                 * (population.parts().stream().mapToLong(part -> part.deadline()).max().orElse(0)
                 + population.tries().pause() * 4)).max().orElse(0);
--- a/src/main/java/mastdrift/lab/report/Charts.java
+++ b/src/main/java/mastdrift/lab/report/Charts.java
@@ -14,6 +14,7 @@
 import org.jfree.chart.axis.NumberAxis;
 import org.jfree.chart.axis.NumberTickUnit;
 import org.jfree.chart.plot.IntervalMarker;
+import org.jfree.chart.plot.Plot;
 import org.jfree.chart.plot.XYPlot;
 import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
 import org.jfree.chart.title.LegendTitle;
@@ -30,9 +31,9 @@
 
     private static final int WIDTH = 860;
     private static final int HEIGHT = 320;
-    private static final Font FONT = new Font("SansSerif", Font.PLAIN, 12);
+    static final Font FONT = new Font("SansSerif", Font.PLAIN, 12);
     // Okabe, Ito: told apart by all, also without red and green.
-    private static final List<Color> COLORS = List.of(new Color(0x0072B2), new Color(0xD55E00), new Color(0x009E73),
+    static final List<Color> COLORS = List.of(new Color(0x0072B2), new Color(0xD55E00), new Color(0x009E73),
             new Color(0xCC79A7), new Color(0xE69F00), new Color(0x56B4E9), new Color(0x000000), new Color(0xF0E442));
 
     /** A line: pairs of x and y. */
@@ -105,10 +106,10 @@
         return plot;
     }
 
-    private static String svg(String id, XYPlot plot) {
+    static String svg(String id, Plot plot) {
         JFreeChart chart = new JFreeChart(null, FONT, plot, false);
         chart.setBackgroundPaint(Color.WHITE);
-        LegendTitle legend = new LegendTitle(plot);
+        LegendTitle legend = new LegendTitle((org.jfree.chart.LegendItemSource) plot);
         legend.setItemFont(FONT);
         legend.setPosition(RectangleEdge.BOTTOM);
         chart.addLegend(legend);
--- a/src/main/java/mastdrift/lab/report/Report.java
+++ b/src/main/java/mastdrift/lab/report/Report.java
@@ -49,12 +49,12 @@
 
     private static void totals(StringBuilder html, Results results) {
         html.append("<h2>Totals</h2>\n<p>Means over seeds, least and most in brackets. Times in ms, from the first try of a request.</p>\n"
-                + "<table><tr><th>arm</th><th>goodput</th><th>refused</th><th>failed</th><th>attempts</th><th>p50</th><th>p99</th>"
+                + "<table><tr><th>arm</th><th>goodput</th><th>refused</th><th>failed</th><th>attempts</th><th>crossed</th><th>p50</th><th>p99</th>"
                 + "<th>p99.9</th><th>rules broken</th></tr>\n");
         for (String arm : results.arms()) {
             List<RunResult> runs = results.of(arm);
             html.append("<tr><td>").append(escape(arm)).append("</td>");
-            for (Quantity what : List.of(Quantity.GOODPUT, Quantity.REFUSED, Quantity.FAILED, Quantity.ATTEMPTS, Quantity.P50,
+            for (Quantity what : List.of(Quantity.GOODPUT, Quantity.REFUSED, Quantity.FAILED, Quantity.ATTEMPTS, Quantity.CROSSED, Quantity.P50,
                     Quantity.P99, Quantity.P999)) {
                 double unit = what.time() ? 1e-3 : 1;
                 String form = what.time() ? "%.1f" : "%.4f";
--- /dev/null
+++ b/src/main/java/mastdrift/lab/report/ZonePicture.java
@@ -0,0 +1,52 @@
+package mastdrift.lab.report;
+
+import java.awt.Color;
+import java.util.Map;
+import mastdrift.zones.Cause;
+import mastdrift.zones.Counts;
+import mastdrift.zones.Flow;
+import org.jfree.chart.axis.CategoryAxis;
+import org.jfree.chart.axis.NumberAxis;
+import org.jfree.chart.plot.CategoryPlot;
+import org.jfree.chart.renderer.category.StackedBarRenderer;
+import org.jfree.chart.renderer.category.StandardBarPainter;
+import org.jfree.data.category.DefaultCategoryDataset;
+
+/** What crossed zones, as a picture: bytes by class, in bars of their causes. */
+public final class ZonePicture {
+
+    private static final double MIB = 1 << 20;
+
+    private ZonePicture() { }
+
+    /** As SVG. */
+    public static String svg(Map<Flow, Counts> flows) {
+        DefaultCategoryDataset data = new DefaultCategoryDataset();
+        for (Cause cause : Cause.values()) {
+            flows.forEach((flow, counts) -> {
+                if (flow.crosses() && counts.bytes(cause) > 0) {
+                    String bar = flow.className() + ", " + flow.from() + " to " + flow.to();
+                    double before = data.getRowIndex(cause.word()) >= 0 && data.getColumnIndex(bar) >= 0
+                            && data.getValue(cause.word(), bar) != null ? data.getValue(cause.word(), bar).doubleValue() : 0;
+                    data.setValue(before + counts.bytes(cause) / MIB, cause.word(), bar);
+                }
+            });
+        }
+        StackedBarRenderer renderer = new StackedBarRenderer();
+        renderer.setBarPainter(new StandardBarPainter());
+        renderer.setShadowVisible(false);
+        for (int i = 0; i < data.getRowCount(); i++) {
+            renderer.setSeriesPaint(i, Charts.COLORS.get(i % Charts.COLORS.size()));
+        }
+        CategoryAxis x = new CategoryAxis();
+        NumberAxis y = new NumberAxis("MiB, both ways");
+        x.setTickLabelFont(Charts.FONT);
+        y.setTickLabelFont(Charts.FONT);
+        y.setLabelFont(Charts.FONT);
+        CategoryPlot plot = new CategoryPlot(data, x, y, renderer);
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.setRangeGridlinePaint(new Color(0xDDDDDD));
+        plot.setOutlineVisible(false);
+        return Charts.svg("zones", plot);
+    }
+}
--- a/src/main/java/mastdrift/zones/Limit.java
+++ b/src/main/java/mastdrift/zones/Limit.java
@@ -27,6 +27,11 @@
         MONEY
     }
 
+    /** The same for so many times the amount. */
+    public Limit times(double factor) {
+        return new Limit(name, window, unit, amount * factor, to, className, tenant, pool, carryMost, hard);
+    }
+
     boolean covers(String zone, String ofClass, String ofTenant, String ofPool) {
         return (to == null || to.equals(zone)) && (className == null || className.equals(ofClass))
                 && (tenant == null || tenant.equals(ofTenant)) && (pool == null || pool.equals(ofPool));
--- /dev/null
+++ b/src/main/java/mastdrift/zones/edge/ZoneReports.java
@@ -0,0 +1,157 @@
+package mastdrift.zones.edge;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import mastdrift.zones.Cause;
+import mastdrift.zones.Counts;
+import mastdrift.zones.Flow;
+import mastdrift.zones.Limit;
+import mastdrift.zones.Snapshot;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+
+/** Reports of one gateway or of several, as a person reads them, as CSV (RFC 4180) and as JSON. */
+public final class ZoneReports {
+
+    private static final long FILE_MOST = 64 << 20;
+
+    private ZoneReports() { }
+
+    /** Reads a report or a state; an IOException names what was expected and found. */
+    public static Snapshot read(Path file) throws IOException {
+        if (!Files.isRegularFile(file) || Files.size(file) > FILE_MOST) {
+            throw new IOException(file + ": expected a report or a state of at most 64 MiB, found "
+                    + (Files.isRegularFile(file) ? "a larger file" : "no file"));
+        }
+        byte[] bytes = Files.readAllBytes(file);
+        try {
+            String head = new String(bytes, 0, Math.min(bytes.length, 200), StandardCharsets.UTF_8);
+            boolean sealed = head.contains("\"" + ZoneTexts.STATE + "\"");
+            return ZoneTexts.snapshot(sealed ? ZoneTexts.opened(ZoneTexts.STATE, bytes) : JSON.std.mapFrom(bytes));
+        } catch (IOException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** All gateways' flows together; budgets aren't added, for each gateway has its part. */
+    public static Map<Flow, Counts> sum(List<Snapshot> snapshots) {
+        Map<Flow, Counts> sum = new java.util.LinkedHashMap<>();
+        snapshots.forEach(snapshot -> snapshot.flows().forEach((flow, counts) -> sum.computeIfAbsent(flow, any -> new Counts()).add(counts)));
+        return sum;
+    }
+
+    /** One JSON text. */
+    public static String json(List<Snapshot> snapshots) throws IOException {
+        List<Object> gateways = new ArrayList<>();
+        snapshots.forEach(snapshot -> gateways.add(ZoneTexts.map(snapshot)));
+        return JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(Map.of("gateways", gateways)) + "\n";
+    }
+
+    /** A line a flow and gateway, with a head. */
+    public static String csv(List<Snapshot> snapshots) throws IOException {
+        List<String> head = new ArrayList<>(List.of("gateway", "at", "from", "to", "client", "class", "pool", "tenant", "requests", "attempts",
+                "probes", "failed", "sent", "received", "money"));
+        for (Cause cause : Cause.values()) {
+            head.add(cause.word() + "_attempts");
+            head.add(cause.word() + "_bytes");
+        }
+        StringBuilder text = new StringBuilder();
+        try (CSVPrinter printer = new CSVPrinter(text, CSVFormat.RFC4180.builder().setHeader(head.toArray(new String[0])).get())) {
+            for (Snapshot snapshot : snapshots) {
+                for (Map.Entry<Flow, Counts> entry : snapshot.flows().entrySet()) {
+                    Flow flow = entry.getKey();
+                    Counts counts = entry.getValue();
+                    List<Object> row = new ArrayList<>(List.of(snapshot.gateway(), Instant.ofEpochMilli(snapshot.at()), flow.from(), flow.to(),
+                            flow.client(), flow.className(), flow.pool(), flow.tenant(), counts.requests(), counts.attempts(), counts.probes(),
+                            counts.failed(), counts.sent(), counts.received(), snapshot.money(flow, counts)));
+                    for (Cause cause : Cause.values()) {
+                        row.add(counts.attempts(cause));
+                        row.add(counts.bytes(cause));
+                    }
+                    printer.printRecord(row);
+                }
+            }
+        }
+        return text.toString();
+    }
+
+    // ---- for a person
+
+    /** What crossed, by class and pair of zones; why; and the budgets of each gateway. */
+    public static List<String> lines(List<Snapshot> snapshots) {
+        List<String> lines = new ArrayList<>();
+        Map<Flow, Counts> byClass = new TreeMap<>((one, other) -> (one.from() + " " + one.to() + " " + one.className())
+                .compareTo(other.from() + " " + other.to() + " " + other.className()));
+        Map<Flow, Double> money = new java.util.HashMap<>();
+        Counts all = new Counts();
+        for (Snapshot snapshot : snapshots) {
+            snapshot.flows().forEach((flow, counts) -> {
+                all.add(counts);
+                if (flow.crosses()) {
+                    Flow key = new Flow(flow.from(), flow.to(), "", flow.className(), "", "");
+                    byClass.computeIfAbsent(key, any -> new Counts()).add(counts);
+                    money.merge(key, snapshot.money(flow, counts), Double::sum);
+                }
+            });
+            lines.add("gateway " + snapshot.gateway() + " in " + snapshot.zone() + " at " + Instant.ofEpochMilli(snapshot.at())
+                    + (snapshot.giving().isEmpty() ? "" : ", giving way: " + snapshot.giving()));
+        }
+        lines.add("");
+        lines.add(row("crossing", "class", "requests", "attempts", "failed", "sent", "received", "money"));
+        Counts crossed = new Counts();
+        byClass.forEach((flow, counts) -> {
+            crossed.add(counts);
+            lines.add(row(flow.from() + " > " + flow.to(), flow.className(), "" + counts.requests(), "" + counts.attempts(), "" + counts.failed(),
+                    bytes(counts.sent()), bytes(counts.received()), String.format(Locale.ROOT, "%.4f", money.get(flow))));
+        });
+        lines.add(String.format(Locale.ROOT, "%d of %d attempts crossed (%.2f%%), %s of %s", crossed.attempts(), all.attempts(),
+                100.0 * crossed.attempts() / Math.max(1, all.attempts()), bytes(crossed.sent() + crossed.received()),
+                bytes(all.sent() + all.received())));
+        lines.add("");
+        for (Cause cause : Cause.values()) {
+            if (crossed.attempts(cause) > 0 || crossed.bytes(cause) > 0) {
+                lines.add(row("because of", cause.word(), "", "" + crossed.attempts(cause), "", bytes(crossed.bytes(cause)), "", ""));
+            }
+        }
+        for (Snapshot snapshot : snapshots) {
+            snapshot.budgets().forEach(budget -> lines.add(line(snapshot.gateway(), budget)));
+        }
+        return lines;
+    }
+
+    private static String line(String gateway, Snapshot.Budget budget) {
+        Limit limit = budget.limit();
+        return gateway + ", budget " + limit.name() + " until " + Instant.ofEpochMilli(budget.end()) + ": part " + amount(limit, budget.granted())
+                + ", used " + amount(limit, budget.spent()) + ", left " + amount(limit, budget.left()) + ", by its end "
+                + amount(limit, budget.forecast()) + (budget.owed() > 0 ? ", owed later " + amount(limit, budget.owed()) : "")
+                + (budget.kept().given().isEmpty() ? "" : ", gave " + budget.kept().given())
+                + (budget.kept().got().isEmpty() ? "" : ", got " + budget.kept().got());
+    }
+
+    private static String amount(Limit limit, double amount) {
+        return switch (limit.unit()) {
+            case BYTES -> amount < 0 ? "-" + bytes(Math.round(-amount)) : bytes(Math.round(amount));
+            case REQUESTS -> String.format(Locale.ROOT, "%.0f requests", amount);
+            case MONEY -> String.format(Locale.ROOT, "%.4f", amount);
+        };
+    }
+
+    private static String row(String... cells) {
+        return String.format(Locale.ROOT, "%-20s %-20s %10s %10s %8s %12s %12s %10s", (Object[]) cells).stripTrailing();
+    }
+
+    private static String bytes(long bytes) {
+        String[] units = {"B", "KiB", "MiB", "GiB", "TiB", "PiB"};
+        int unit = Math.min(units.length - 1, bytes < 1024 ? 0 : (63 - Long.numberOfLeadingZeros(bytes)) / 10);
+        return unit == 0 ? bytes + " B" : String.format(Locale.ROOT, "%.2f %s", bytes / Math.pow(1024, unit), units[unit]);
+    }
+}
