Module: where budgets bound crossings, the own zone first and the other for its queues

By shares alone any budget was spent on requests that gained nothing. Only requests that carry a word on crossing are decided so; elsewhere nothing changes.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -62,6 +62,7 @@
     private static final double HISTORY = 4;            // sends a server that count as lately
     private static final int CANDIDATES = 6;            // draws within S* before the least burdened is taken
     private static final int PLACES = 4096;             // of the table: enough for even parts of 500 servers
+    private static final int NEAR_FIRST = 32;           // draws for the own zone alone, where crossing costs
     private static final int DRAWS = 64;                // draws in all, a bound on the work a request costs
     private static final double SURE = 8;               // draws expected to fit: one in 3,000 finds none
     private static final double RETRY_SHARE = 0.1;      // retry budget: of the requests that came in
@@ -539,17 +540,26 @@
         What is beyond shares doesn't: that would crowd these. */
     private Server draw(long now, Held req) {
         Server least = null;
+        Server crowded = null;  // the first of the own zone with a queue: taken where the other has no better
         double leastBurden = Double.MAX_VALUE;
         int found = 0;
         for (int i = 0; i < DRAWS && found < CANDIDATES && table.length > 0; i++) {
             long hash = mix(req.key + i * 0x9E3779B97F4A7C15L);
             Server server = table[(int) hash & (table.length - 1)];
+            boolean far = req.crossing != null && !near(server);
+            if (far && crowded == null && (i < NEAR_FIRST || found > 0)) {
+                continue;  // a crossing costs: the own zone first, the other one for its queues
+            }
             double share = server.share * crossing(now, req, server);
             if ((mix(hash) >>> 11) * 0x1.0p-53 * shareMost >= share || !maySend(now, req, server)) {
                 continue;
             }
             found++;
-            double burden = burden(now, server) + (req.within ? Math.max(0, filled(now, server)) : 0);
+            double burden = burden(now, server) + (req.within || far ? Math.max(0, filled(now, server)) : 0);
+            if (burden <= 1 && req.crossing != null && !far && filled(now, server) > 0) {
+                crowded = crowded == null ? server : crowded;
+                continue;
+            }
             if (burden <= 1) {
                 return server;
             }
@@ -558,6 +568,9 @@
                 leastBurden = burden;
             }
         }
+        if (crowded != null) {
+            return crowded;
+        }
         return found == 0 && (req.crossing == null ? sparse : homeSparse) ? search(now, req) : least;
     }
 
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -121,7 +121,7 @@
         event(exchange, now -> {
             pool.own(now);
             pool.module().request(now, new Balancer.Request(exchange.id, ask.className(), ask.tenant(), ask.key(), kept,
-                    ask.work(), ask.repeated(), ask.write(), exchange.pass));
+                    ask.work(), ask.repeated(), ask.write(), exchange.pass == null ? null : exchange.pass.bounds()));
         });
         return exchange.ended ? null : exchange;
     }
--- a/src/main/java/mastdrift/zones/PoolZones.java
+++ b/src/main/java/mastdrift/zones/PoolZones.java
@@ -102,6 +102,11 @@
             this.key = key;
         }
 
+        /** Itself where any budget says what may cross; null where all is counted and nothing bounded. */
+        public Crossing bounds() {
+            return zoning.bounds() ? this : null;
+        }
+
         @Override
         public double part(long now, String to) {
             if (now != judgedAt || !to.equals(judgedZone)) {  // draws ask the same many times over
--- a/src/main/java/mastdrift/zones/Zoning.java
+++ b/src/main/java/mastdrift/zones/Zoning.java
@@ -97,6 +97,10 @@
         return zone;
     }
 
+    boolean bounds() {
+        return !accounts.isEmpty();
+    }
+
     KeyZones keys() {
         return keys;
     }
