--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -556,7 +556,7 @@
             }
             found++;
             double burden = burden(now, server) + (req.within || far ? Math.max(0, filled(now, server)) : 0);
-            if (burden <= 1 && req.crossing != null && !far && filled(now, server) > 0) {
+            if (burden <= 1 && req.crossing != null && !far && pressure(now, server) > 0) {
                 crowded = crowded == null ? server : crowded;
                 continue;
             }
--- a/src/main/java/mastdrift/zones/Escrow.java
+++ b/src/main/java/mastdrift/zones/Escrow.java
@@ -14,7 +14,7 @@
 public final class Escrow {
 
     /** Gateways that are heard. */
-    public static final int PEERS_MOST = 64;
+    public static final int PEERS_MOST = 256;
     /** Milliseconds after which a word's wishes count no more; its grants count as long as their window. */
     static final long HEARD = 10_000;
     // Of its own part, what a giver keeps beyond what it expects to need.
