--- a/src/main/java/mastdrift/zones/PoolZones.java
+++ b/src/main/java/mastdrift/zones/PoolZones.java
@@ -132,7 +132,7 @@
             double ease = zoning.ease(now, to, type.name(), tenant, name, first);
             if (ease == 0) {
                 heldBack = to;
-                soft |= !first;
+                soft |= !first && zoning.ease(now, to, type.name(), tenant, name, true) > 0;
             }
             return first && ease > 0 ? 1 : ease;
         }
--- a/src/test/java/mastdrift/zones/AccountTest.java
+++ b/src/test/java/mastdrift/zones/AccountTest.java
@@ -280,6 +280,17 @@
         }
     }
 
+    @Test
+    void grantsOfAnotherWindowDontCount() {
+        Account account = new Account(limit(Window.MINUTE, 1_000, 0), 1, BEGIN);
+        account.take("peer", BEGIN - MINUTE, 500);
+        account.take("peer", BEGIN + MINUTE, 500);
+        assertEquals(1_000, account.granted());
+        account.take("peer", BEGIN, 500);
+        account.take("peer", BEGIN, 500);
+        assertEquals(1_500, account.granted());
+    }
+
     // ---- time
 
     /** Offset of the wall clock, for so many seconds, and what is believed at the end. */
--- a/src/test/java/mastdrift/zones/ZoningTest.java
+++ b/src/test/java/mastdrift/zones/ZoningTest.java
@@ -266,6 +266,27 @@
         return over;
     }
 
+    /** Before its first list a pool has no zone that could be out. */
+    @Test
+    void aPoolThatHasHeardNothingGivesWayToNothing() {
+        Zoning zoning = new Zoning("g", "bilbao", 1, settings(limit("l", Limit.Unit.REQUESTS, 0, null, false)), now, WALL);
+        pool(zoning).hosts(now, true, List.of());
+        pool(zoning).hosts(now, true, List.of(host("b1", Health.UP), host("o1", Health.UP)));
+        assertEquals(0, pass(zoning, READ, null).part(now, "oviedo"));
+    }
+
+    /** What a hard budget holds back is no overload that a soft one beside it could give way to. */
+    @Test
+    void refusalsByAHardBudgetMoveNothing() {
+        Zoning zoning = zoning(limit("soft", Limit.Unit.REQUESTS, 0, null, false), limit("hard", Limit.Unit.REQUESTS, 0, "read", true));
+        for (int i = 0; i < 600; i++, now += 10_000) {
+            PoolZones.Pass pass = pass(zoning, READ, null);
+            assertEquals(0, pass.part(now, "oviedo"));
+            pass.refused(now, Why.ZONES);
+            assertEquals(List.of(), pool(zoning).relief().giving());
+        }
+    }
+
     /** Service goes before a soft budget and not before a hard one, and what it took is owed. */
     @Test
     void serviceGoesBeforeSoftBudgetsAlone() {
--- a/src/test/java/mastdrift/zones/edge/ZoneTextsTest.java
+++ b/src/test/java/mastdrift/zones/edge/ZoneTextsTest.java
@@ -153,7 +153,8 @@
         assertEquals(1, log.size(), log.toString());
         Files.writeString(folder.resolve("zones-g.state"), "half");
         Files.delete(folder.resolve("budgets-other.json"));
-        Files.createSymbolicLink(folder.resolve("budgets-other.json"), folder.resolve("report.json"));
+        Files.write(folder.resolve("elsewhere"), ZoneTexts.sealed(ZoneTexts.WORD, ZoneTexts.map(word("other"))));
+        Files.createSymbolicLink(folder.resolve("budgets-other.json"), folder.resolve("elsewhere"));
         try (ZoneFiles files = files("g", heard)) {
             assertNull(files.earlier());
             assertTrue(log.get(1).contains("zones-g.state is not used: expected a first line"), log.toString());
