--- a/src/test/java/mastdrift/zones/ZoningTest.java
+++ b/src/test/java/mastdrift/zones/ZoningTest.java
@@ -160,6 +160,28 @@
         }
     }
 
+    /** What is out has its part already: crossings that take two seconds each, asked for each 10 ms, don't overrun a window. */
+    @Test
+    void whatIsOutIsReserved() {
+        Zoning zoning = zoning(limit("r", Limit.Unit.REQUESTS, 60, null, false));
+        List<PoolZones.Leg> out = new ArrayList<>();
+        List<Long> ends = new ArrayList<>();
+        long begun = 0;
+        for (long end = now + 60 * SECOND; now < end; go(zoning, 10_000)) {
+            while (!out.isEmpty() && ends.get(0) <= now) {
+                out.remove(0).ended(now, Outcome.DELIVERED, 100, 100);
+                ends.remove(0);
+            }
+            PoolZones.Pass pass = pass(zoning, READ, null);
+            if (pass.part(now, "oviedo") > 0) {
+                out.add(pass.sent(now, "o1", 0));
+                ends.add(now + 2 * SECOND);
+                begun++;
+            }
+        }
+        assertTrue(begun >= 55 && begun <= 61, "begun " + begun);
+    }
+
     /** 2 and 1 a GiB, 2^29 bytes out and 2^30 in: 2 in all, and the budget of money says the same. */
     @Test
     void moneyIsByThePricesOfBothDirections() {
