--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -25,6 +25,7 @@
 import mastdrift.membership.Overrides.Override;
 import mastdrift.routing.Match;
 import mastdrift.routing.Route;
+import mastdrift.settings.AddressRange;
 import mastdrift.zones.ZoneSettings;
 
 /**
@@ -39,8 +40,6 @@
     private static final Pattern ENDPOINT = Pattern.compile(
             "(?:\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(\\d{1,5})");
 
-    private static final Pattern NETWORK = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3})/(\\d{1,2})");
-
     /** Where texts come from: the file system, or a test. */
     public interface Texts {
         /** The text of a file, as it is named in the gateway's file; null where there is none, for a reason that was added
@@ -162,21 +161,13 @@
     }
 
     private static RadiusSettings.Client radiusClient(Section section, List<Tenant> tenants) {
-        String network = section.requiredText("network");
-        Matcher matcher = NETWORK.matcher(network);
-        boolean fits = matcher.matches() && Integer.parseInt(matcher.group(2)) <= 32;
-        for (String part : fits ? matcher.group(1).split("\\.") : new String[0]) {
-            fits &= Integer.parseInt(part) <= 255;
-        }
-        if (!fits && !network.equals("?")) {
-            section.problem("network", "expected ADDRESS/PREFIX in digits, found \"" + network + "\"");
-        }
+        AddressRange range = Tables.range(section, "network");
         SecretRef secret = secret(section);
         if (secret == null) {
             section.problem("expected secret_file or secret_variable, found neither");
         }
         RadiusSettings.Client client = new RadiusSettings.Client(Tables.word(section, "name", section.requiredText("name")),
-                fits ? matcher.group(1) : "0.0.0.0", fits ? Integer.parseInt(matcher.group(2)) : 32, secret,
+                range, secret,
                 Tables.among(section, "tenant", tenants.stream().map(Tenant::name).toList()),
                 section.flag("message_authenticator", true));
         section.noMore();
--- a/src/main/java/mastdrift/config/RadiusSettings.java
+++ b/src/main/java/mastdrift/config/RadiusSettings.java
@@ -1,6 +1,7 @@
 package mastdrift.config;
 
 import java.util.List;
+import mastdrift.settings.AddressRange;
 
 /**
  * A RADIUS listener; bound at the start.
@@ -21,11 +22,10 @@
      * Chargers behind one address range.
      *
      * @param name for counts and log
-     * @param network an address in digits
-     * @param prefix how many of its bits count
+     * @param range their addresses
      * @param secret where their secret is
      * @param tenant their tenant, or null
      * @param signed whether Access-Requests must have a Message-Authenticator
      */
-    public record Client(String name, String network, int prefix, SecretRef secret, String tenant, boolean signed) { }
+    public record Client(String name, AddressRange range, SecretRef secret, String tenant, boolean signed) { }
 }
--- a/src/main/java/mastdrift/config/Tables.java
+++ b/src/main/java/mastdrift/config/Tables.java
@@ -12,6 +12,7 @@
 import mastdrift.Balancer.Rules;
 import mastdrift.Balancer.Tenant;
 import mastdrift.routing.Route;
+import mastdrift.settings.AddressRange;
 
 /** Tables that files of several kinds have alike: a gateway's file and an experiment's. */
 public final class Tables {
@@ -90,6 +91,17 @@
         return List.copyOf(targets.values());
     }
 
+    /** A range of addresses; null, and a problem, where there is none. */
+    static AddressRange range(Section section, String key) {
+        String text = section.requiredText(key);
+        try {
+            return text.equals("?") ? null : AddressRange.parse(text);
+        } catch (IllegalArgumentException e) {
+            section.problem(key, e.getMessage());
+            return null;
+        }
+    }
+
     /** A name: a problem where it is not one word. */
     public static String word(Section section, String key, String word) {
         if (!word.equals("?") && !WORD.matcher(word).matches()) {
--- a/src/main/java/mastdrift/config/ZonesReader.java
+++ b/src/main/java/mastdrift/config/ZonesReader.java
@@ -6,10 +6,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Tenant;
+import mastdrift.settings.AddressRange;
 import mastdrift.zones.Limit;
 import mastdrift.zones.Limit.Unit;
 import mastdrift.zones.Networks;
@@ -21,7 +20,6 @@
 public final class ZonesReader {
 
     private static final int MOST = 64;
-    private static final Pattern NETWORK = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3})/(\\d{1,2})");
 
     private final Section section;
     private final String own;
@@ -131,21 +129,15 @@
         return prices;
     }
 
-    private List<ZoneSettings.Network> networks() {
-        List<ZoneSettings.Network> networks = new ArrayList<>();
+    private List<Networks.Network> networks() {
+        List<Networks.Network> networks = new ArrayList<>();
         Set<String> met = Section.met();
         for (Section each : section.sections("client", Networks.MOST)) {
-            String text = each.requiredText("network");
-            each.once("network", text, met);
-            Matcher matcher = NETWORK.matcher(text);
-            boolean fits = matcher.matches() && Integer.parseInt(matcher.group(2)) <= 32
-                    && Arrays.stream(matcher.group(1).split("\\.")).allMatch(part -> Integer.parseInt(part) <= 255);
-            if (!fits && !text.equals("?")) {
-                each.problem("network", "expected ADDRESS/PREFIX in digits, found \"" + text + "\"");
-            }
+            AddressRange range = Tables.range(each, "network");
             String zone = requiredZone(each, "zone");
-            if (fits) {
-                networks.add(new ZoneSettings.Network(matcher.group(1), Integer.parseInt(matcher.group(2)), zone));
+            if (range != null) {
+                each.once("network", each.text("network"), met);
+                networks.add(new Networks.Network(range, zone));
             }
             each.noMore();
         }
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -392,7 +392,7 @@
         Map<String, RequestClass> types = new HashMap<>();
         next.classes().forEach(type -> types.put(type.name(), type));
         RadiusClients chargers = new RadiusClients(settings.clients().stream().map(client -> new RadiusClients.Client(
-                client.name(), Addresses.parse(client.network() + ":0").getAddress(), client.prefix(),
+                client.name(), client.range(),
                 new Authenticators(secrets.get(client.secret())), client.tenant(), client.signed())).toList());
         return new RadiusFront(loop, ledger, (className, tenant, key) -> radiusPool(types.get(className), tenant, key), chargers,
                 new RadiusFront.Classes(settings.accessClass(), settings.conversationClass(), settings.accountingClass(),
--- a/src/main/java/mastdrift/serve/ZoneService.java
+++ b/src/main/java/mastdrift/serve/ZoneService.java
@@ -8,7 +8,6 @@
 import java.util.function.LongSupplier;
 import mastdrift.config.Configuration;
 import mastdrift.config.GatewaySettings;
-import mastdrift.net.Addresses;
 import mastdrift.zones.Networks;
 import mastdrift.zones.PoolZones;
 import mastdrift.zones.Snapshot;
@@ -34,7 +33,7 @@
     ZoneService(Path file, EventLoop loop, LongSupplier now, GatewaySettings gateway, ZoneSettings settings, Consumer<String> log) {
         this.now = now;
         zoning = new Zoning(gateway.name(), gateway.zone(), gateway.gateways(), settings, now.getAsLong(), System.currentTimeMillis());
-        networks = networks(settings);
+        networks = new Networks(settings.networks());
         files = new ZoneFiles(file, gateway.name(), settings, word -> loop.execute(() -> zoning.heard(word)), log);
         Snapshot earlier = files.earlier();
         if (earlier != null) {
@@ -50,11 +49,6 @@
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private static Networks networks(ZoneSettings settings) {
-        return new Networks(settings.networks().stream().map(network -> new Networks.Network(
-                Addresses.parse(network.address() + ":0").getAddress().getAddress(), network.prefix(), network.zone())).toList());
-    }
-
     private void tick() {
         zoning.tick(now.getAsLong(), System.currentTimeMillis());
         if (++ticks % WRITE_EVERY == 0) {
@@ -69,7 +63,7 @@
 
     /** The operator's file has changed. */
     void configure(Configuration next) {
-        networks = networks(next.zones());
+        networks = new Networks(next.zones().networks());
         zoning.configure(next.zones());
     }
 
--- a/src/main/java/mastdrift/zones/ZoneSettings.java
+++ b/src/main/java/mastdrift/zones/ZoneSettings.java
@@ -14,12 +14,9 @@
  * @param stateFolder where counts and budgets outlive the process, or null
  * @param sharedFolder where gateways read one another's words, or null
  */
-public record ZoneSettings(List<Limit> limits, List<Price> prices, List<Network> networks, List<String> giveWay, long calm,
+public record ZoneSettings(List<Limit> limits, List<Price> prices, List<Networks.Network> networks, List<String> giveWay, long calm,
         String reportFile, String stateFolder, String sharedFolder) {
 
-    /** A client network as the file has it: an address in digits, bits, a zone. */
-    public record Network(String address, int prefix, String zone) { }
-
     /** Whether what is bound at the start is the same: the files. */
     public boolean sameAtStart(ZoneSettings other) {
         return String.valueOf(reportFile).equals(String.valueOf(other.reportFile))
--- a/src/test/java/mastdrift/config/ZonesReaderTest.java
+++ b/src/test/java/mastdrift/config/ZonesReaderTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import mastdrift.settings.AddressRange;
 import mastdrift.zones.Limit;
+import mastdrift.zones.Networks;
 import mastdrift.zones.Price;
 import mastdrift.zones.Window;
 import mastdrift.zones.ZoneSettings;
@@ -73,7 +75,7 @@
         assertEquals(List.of(new Limit("month", Window.MONTH, Limit.Unit.BYTES, 1.5 * (1 << 30), "oviedo", "read", null, "main", 0.25, false),
                 new Limit("hard", Window.MINUTE, Limit.Unit.REQUESTS, 0, null, null, null, null, 0, true)), zones.limits());
         assertEquals(List.of(new Price("bilbao", "oviedo", 0.02, 0)), zones.prices());
-        assertEquals(List.of(new ZoneSettings.Network("10.1.0.0", 16, "oviedo")), zones.networks());
+        assertEquals(List.of(new Networks.Network(AddressRange.parse("10.1.0.0/16"), "oviedo")), zones.networks());
         assertEquals(10_000_000, zones.calm());
         assertNotNull(zones.reportFile());
     }
--- a/src/test/java/mastdrift/lab/load/LoadTest.java
+++ b/src/test/java/mastdrift/lab/load/LoadTest.java
@@ -80,7 +80,7 @@
         host.manner(Manner.DRAIN);
         LoadResult refused = LoadRun.start(LoadPlan.open(at, 100, 1, 16, 1_000).trying(new Tries(3, 1_000, 1, 0, 0))).join();
         assertEquals(100, refused.count(Of.ASKED));
-        assertEquals(200, refused.count(Of.REPEATS));
+        assertEquals(200, refused.count(Of.REPEATS), () -> refused.lines().toString());
         assertEquals(300, refused.count(Of.REFUSED));
         host.manner(Manner.FAIL);
         List<Mix.Part> kinds = List.of(new Mix.Part("a", null, Repeat.UNSAFE, 1, 1_000_000, 3),
--- a/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
+++ b/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
@@ -52,6 +52,7 @@
 import mastdrift.engine.Timers;
 import mastdrift.radius.Attribute;
 import mastdrift.radius.Authenticators;
+import mastdrift.settings.AddressRange;
 import mastdrift.radius.Code;
 import mastdrift.radius.Packet;
 import mastdrift.radius.Resends;
@@ -108,7 +109,7 @@
                     uid -> SERVER, drops));
             pool.start(Source.TELLS, List.of());
             RadiusClients clients = new RadiusClients(List.of(new RadiusClients.Client("chargers",
-                    InetAddress.getByName("127.0.0.0"), 30, new Authenticators(CHARGER), null, true)));
+                    AddressRange.parse("127.0.0.0/30"), new Authenticators(CHARGER), null, true)));
             front = new RadiusFront(loop, ledger, (name, tenant, key) -> pool, clients,
                     new RadiusFront.Classes("access", "conversation", "accounting", 4_000_000, 4_000_000),
                     new Resends(30_000_000, 1 << 16, 16 << 20), drops);
--- a/src/test/java/mastdrift/zones/ZoningTest.java
+++ b/src/test/java/mastdrift/zones/ZoningTest.java
@@ -18,6 +18,7 @@
 import mastdrift.Balancer.Repeat;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Why;
+import mastdrift.settings.AddressRange;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -343,8 +344,8 @@
 
     @Test
     void theLongestNetworkDecides() {
-        Networks networks = new Networks(List.of(new Networks.Network(new byte[] {10, 0, 0, 0}, 8, "bilbao"),
-                new Networks.Network(new byte[] {10, 1, 64, 0}, 18, "oviedo")));
+        Networks networks = new Networks(List.of(new Networks.Network(AddressRange.parse("10.0.0.0/8"), "bilbao"),
+                new Networks.Network(AddressRange.parse("10.1.64.0/18"), "oviedo")));
         Object[][] table = {{10, 1, 64, 1, "oviedo"}, {10, 1, 127, 1, "oviedo"}, {10, 1, 128, 1, "bilbao"}, {11, 1, 64, 1, ""}};
         for (Object[] row : table) {
             assertEquals(row[4], networks.zone(new byte[] {((Integer) row[0]).byteValue(), ((Integer) row[1]).byteValue(),
