--- a/src/main/java/mastdrift/serve/ZoneService.java
+++ b/src/main/java/mastdrift/serve/ZoneService.java
@@ -46,13 +46,17 @@
         if (files.told() != null) {
             zoning.told(files.told());
         }
-        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> tick(log), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void tick() {
-        zoning.tick(now.getAsLong(), System.currentTimeMillis());
-        if (++ticks % WRITE_EVERY == 0) {
-            write();
+    private void tick(Consumer<String> log) {
+        try {
+            zoning.tick(now.getAsLong(), System.currentTimeMillis());
+            if (++ticks % WRITE_EVERY == 0) {
+                write();
+            }
+        } catch (RuntimeException fault) {  // or no tick would ever come again
+            log.accept("fault in a tick of zones: " + fault);
         }
     }
 
