--- a/src/test/java/mastdrift/serve/ZoneServiceTest.java
+++ b/src/test/java/mastdrift/serve/ZoneServiceTest.java
@@ -212,6 +212,26 @@
         assertEquals(0, rig.effects.twice());
     }
 
+    /** A zone that goes and comes back cold, twice: the other one has its requests meanwhile, none is lost, no key runs twice, and all is at home in the end. */
+    @Test
+    void aZoneThatFlapsLosesNothing() throws Exception {
+        serve("warm_within = \"4s\"\n[zones]\ngive_way = [\"session-start\", \"session-read\"]\ncalm = \"1s\"\n" + NOTHING);
+        for (int turn = 1; turn <= 2; turn++) {
+            long before = c.served();
+            nodes("state = \"drain\"\n", "");
+            rig.await(() -> statuses(1, null)[200] == 1 && c.served() > before, "the other zone has it");
+            assertEquals(30, statuses(30, "turn-" + turn + "-")[200]);
+            long home = a.served() + b.served();
+            nodes("started_ms = " + System.currentTimeMillis() + "\n", "");
+            rig.await(() -> statuses(5, null)[200] == 5 && a.served() + b.served() > home, "the own zone is back, and cold");
+        }
+        rig.await(() -> {
+            long before = c.served();
+            return statuses(20, null)[200] == 20 && c.served() == before;
+        }, "all is at home again");
+        assertEquals(0, rig.effects.twice());
+    }
+
     @Test
     void aHardBudgetIsKeptAtThePriceOfService() throws Exception {
         serve("[zones]\ngive_way = [\"session-start\", \"session-read\"]\n" + NOTHING + "hard = true\n");
