--- a/src/main/java/mastdrift/zones/edge/ZoneReports.java
+++ b/src/main/java/mastdrift/zones/edge/ZoneReports.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -44,7 +46,7 @@
 
     /** All gateways' flows together; budgets aren't added, for each gateway has its part. */
     public static Map<Flow, Counts> sum(List<Snapshot> snapshots) {
-        Map<Flow, Counts> sum = new java.util.LinkedHashMap<>();
+        Map<Flow, Counts> sum = new LinkedHashMap<>();
         snapshots.forEach(snapshot -> snapshot.flows().forEach((flow, counts) -> sum.computeIfAbsent(flow, any -> new Counts()).add(counts)));
         return sum;
     }
@@ -91,7 +93,7 @@
         List<String> lines = new ArrayList<>();
         Map<Flow, Counts> byClass = new TreeMap<>((one, other) -> (one.from() + " " + one.to() + " " + one.className())
                 .compareTo(other.from() + " " + other.to() + " " + other.className()));
-        Map<Flow, Double> money = new java.util.HashMap<>();
+        Map<Flow, Double> money = new HashMap<>();
         Counts all = new Counts();
         for (Snapshot snapshot : snapshots) {
             snapshot.flows().forEach((flow, counts) -> {
--- a/src/main/java/mastdrift/zones/edge/ZoneTexts.java
+++ b/src/main/java/mastdrift/zones/edge/ZoneTexts.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.DateTimeException;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -183,7 +184,7 @@
             table(map, "giving_way").forEach((pool, classes) -> giving.put(pool,
                     classes instanceof List<?> list ? list.stream().map(String::valueOf).toList() : List.of()));
             return new Snapshot(text(map, "gateway"), text(map, "zone"), time(map, "at"), flows, budgets, prices, giving);
-        } catch (IllegalArgumentException | java.time.DateTimeException e) {
+        } catch (IllegalArgumentException | DateTimeException e) {
             throw new IOException(e.getMessage(), e);
         }
     }
@@ -244,7 +245,7 @@
                 budgets.put(name, new Escrow.Says(time(says, "begin"), real(says, "wants"), given));
             }
             return new Escrow.Word(text(map, "gateway"), time(map, "at"), budgets);
-        } catch (java.time.DateTimeException e) {
+        } catch (DateTimeException e) {
             throw new IOException(e.getMessage(), e);
         }
     }
@@ -301,7 +302,7 @@
 
     private static List<Map<String, Object>> tables(Map<String, Object> map, String key, int most) throws IOException {
         if (!(map.get(key) instanceof List<?> list) || list.size() > most) {
-            throw wrong(key, "a list of at most " + most, map.get(key) instanceof List<?> long_ ? long_.size() : map.get(key));
+            throw wrong(key, "a list of at most " + most, map.get(key) instanceof List<?> longer ? longer.size() : map.get(key));
         }
         List<Map<String, Object>> tables = new ArrayList<>();
         for (Object each : list) {
