--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -83,7 +83,14 @@
     private static final double AWAY = 0.3;             // of a share, in another zone
     private static final double EVEN = 0.2;             // part of the way to even use that a refresh goes
     private static final double UNEVEN = 8;             // kinds differ by no more than this
+    // Of the time in which the registry must be asked: what all gateways that start together spread their first
+    // calls over, and the least and the most that the mean of a pause after a failed call is.
+    private static final int ASK_SPREAD = 20;
+    private static final int ASK_LEAST = 40;
+    private static final int ASK_DOUBLED = 3;
+    private static final long ASK_PAUSE = 250_000;      // the least where the registry pushes and need not be asked
     private static final String TIMER = "refresh";
+    private static final String ASK = "ask";
 
     /** A tenant's share at this gateway. Only what is admitted draws on it: clients whose requests are
         refused try again, and their tries must not make a quiet tenant look greedy. */
@@ -149,7 +156,6 @@
     private double retryBudget = BUDGET_MOST / 2;
     private double probeBudget;
     private long refreshedAt;
-    private long askAt = Long.MAX_VALUE;
     private int askFailures;
     private final double[] idleLost = new double[64];
     private final double[] idleSeen = new double[64];
@@ -182,7 +188,7 @@
         actions.timer(now + 1 + random.nextLong(REFRESH), TIMER);
         weighted = given.weights() == Weights.NOMINAL || given.weights() == Weights.ROUGH;
         if (given.registryOnRequest()) {
-            askAt = now + random.nextLong(given.rules().mustAskIn() / 4 + 1);
+            actions.timer(now + 1 + random.nextLong(given.rules().mustAskIn() / ASK_SPREAD + 1), ASK);
         }
     }
 
@@ -304,11 +310,9 @@
         if (handle.equals(TIMER)) {
             actions.timer(now + REFRESH, TIMER);  // first: a fault in what follows must not end the refreshes
             refresh(now);
-            if (now >= askAt) {
-                askAt = Long.MAX_VALUE;
-                actions.watch(true);
-            }
             probeSome();
+        } else if (handle.equals(ASK)) {
+            actions.watch(true);
         }
     }
 
@@ -1162,10 +1166,11 @@
     @Override
     public void hosts(long now, ListForm form, List<Host> hosts) {
         if (form == ListForm.FAILED) {
-            askFailures++;
-            // Bounded before it is shifted: after 63 failures the span would be negative and the asking end.
-            long backoff = settings.rules().mustAskIn() / 8 * (1L << Math.min(3, askFailures));
-            askAt = now + backoff / 2 + random.nextLong(backoff / 2 + 1);
+            // What was listed meanwhile counts as told some seconds later, heard or not: soon again, then more
+            // seldom. From half of the mean to 1.5 times, or gateways that failed together would ask together.
+            long least = Math.max(ASK_PAUSE, settings.rules().mustAskIn() / ASK_LEAST);
+            long mean = least << Math.min(ASK_DOUBLED, askFailures++);
+            actions.timer(now + 1 + mean / 2 + random.nextLong(mean + 1), ASK);
             return;
         }
         askFailures = 0;
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -35,8 +35,9 @@
 public final class Discovery {
 
     // Calls wait for their turn, for some seconds; a watch that has begun has an empty line every 2 s at least.
-    private static final int TURN_MILLIS = 5000;
-    private static final int SILENCE_MILLIS = 3000;
+    // What is listed while a watch is silent counts as told 6 s later, so that this and one call after it have to fit in.
+    private static final int TURN_MILLIS = 3500;
+    private static final int SILENCE_MILLIS = 2500;
     // After a move, what discovery tells has to be heard within 4 s: for so long a call is repeated soon, and its failure
     // is one of the move and not told.
     private static final int MOVE_MILLIS = 4000;
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.util.NetUtil;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import mastdrift.Balancer;
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.RequestClass;
@@ -19,6 +20,7 @@
     private final Pool pool;
     private final Ledger ledger;
     private final Discovery discovery;
+    private final CompletableFuture<Void> told = new CompletableFuture<>();
 
     /** Starts the module; on the loop's thread. */
     Gateway(Config config, TimedLoop timed, Balancer module, int hostConnections, int openMost, PrintStream out) {
@@ -28,7 +30,6 @@
         pool = new Pool("hosts", ledger, module, config.settings(),
                 new HttpTransport(timed, config.settings(), hostConnections, this::log));
         discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::learn, this::listFailed);
-        logList(config.known());
         pool.start(new Source() {
             @Override
             public void watch(boolean active) {
@@ -40,6 +41,7 @@
                 discovery.fetch();
             }
         }, config.known().entries());
+        logList(config.known());
         if (!config.settings().registryOnRequest()) {
             discovery.watch(true);
         }
@@ -49,6 +51,11 @@
         return ledger;
     }
 
+    /** Done once discovery has told of the hosts for the first time. */
+    CompletableFuture<Void> told() {
+        return told;
+    }
+
     /** Discovery is to be asked at another address. */
     void discoverAt(InetSocketAddress at) {
         log("discovery at " + NetUtil.toSocketAddressString(at));
@@ -63,6 +70,7 @@
     private void learn(HostList list) {
         logList(list);
         pool.learn(list.all() ? ListForm.FULL : ListForm.DELTA, list.entries());
+        told.complete(null);
     }
 
     private void logList(HostList list) {
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -11,7 +11,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -23,6 +25,8 @@
     // Of the descriptors: for the program's own files, discovery, and connections that come and go.
     private static final int RESERVED = 96;
     private static final int STOP_SECONDS = 4;
+    // For so long a start waits for discovery, beside what it has to do anyway: a call that waits for its turn, and one more.
+    private static final int TOLD_SECONDS = 5;
 
     // Kept, since a logger that nobody holds forgets its level.
     private static final Logger LIBRARY_LOG = Logger.getLogger("io.netty");
@@ -31,11 +35,7 @@
 
     /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. */
     public static void main(String[] args) {
-        // The library logs a failed accept; out of descriptors the log's own files can't be opened, and the error that
-        // comes of it would end the loop's thread and with it the gateway.
-        LIBRARY_LOG.setLevel(Level.OFF);
-        // Netty would look for other logging libraries, which are there for the other commands, and load what it finds.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        quiet();
         TimedLoop timed = TimedLoop.start();
         EventLoop loop = timed.loop();
         CompletableFuture<Gateway> started = new CompletableFuture<>();
@@ -43,8 +43,10 @@
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
+            Started now = prepare(config, timed, System.out);  // asks discovery, whose answer takes its time
             rehearse(config, TimedLoop.start(), System.out::println);
-            Started now = start(config, timed, System.out);
+            awaitList(now.gateway(), System.out);
+            listen(now, config, System.out);
             ClientSide clients = now.clients();
             started.complete(now.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
@@ -55,6 +57,15 @@
         }
     }
 
+    /** What the library says is not heard; ahead of its first class. */
+    static void quiet() {
+        // The library logs a failed accept; out of descriptors the log's own files can't be opened, and the error that
+        // comes of it would end the loop's thread and with it the gateway.
+        LIBRARY_LOG.setLevel(Level.OFF);
+        // Netty would look for other logging libraries, which are there for the other commands, and load what it finds.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     static void rehearse(Config config, TimedLoop on, Consumer<String> log) {
         PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
         Rehearsal.play((hosts, at) -> Started.with(new Config(at, at, config.sockets(), new HostList(0, true, hosts),
@@ -89,19 +100,34 @@
         }
     }
 
-    /** Starts a gateway on the loop; throws IllegalArgumentException for a configuration it can't run with. */
-    static Started start(Config config, TimedLoop loop, PrintStream out) {
+    /** Starts a gateway on the loop, not yet listening; throws IllegalArgumentException for a configuration it can't run with. */
+    static Started prepare(Config config, TimedLoop loop, PrintStream out) {
         // Of the clients' half, an eighth is for answering those that come beyond the requests held.
         int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
-        Started started = CompletableFuture.supplyAsync(
+        return CompletableFuture.supplyAsync(
                 () -> Started.with(config, loop, most, most - most / 8, most, out), loop.loop()).join();
+    }
+
+    /** What a gateway knew when it ended may be long over, hosts that have drained since among it: clients come to one that has
+        been told what there is now, or that has waited for that in vain. */
+    static void awaitList(Gateway gateway, PrintStream out) {
+        try {
+            gateway.told().get(TOLD_SECONDS, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            out.println("discovery tells nothing: going by the list that was known");
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);  // nobody does either
+        }
+    }
+
+    /** Throws IllegalArgumentException where it can't listen. */
+    static void listen(Started started, Config config, PrintStream out) {
         ChannelFuture bound = started.clients().listen(config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IllegalArgumentException("no listening on " + config.listen() + ": " + bound.cause().getMessage(),
                     bound.cause());
         }
         out.println("listening on " + started.clients().address());
-        return started;
     }
 
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -50,7 +50,10 @@
     private static final int REQUESTS = 800;
     private static final int HOSTS = 8;
     private static final int FAILING = 16;  // of so many requests one fails, so that other paths are met too
-    private static final int PATIENCE_MILLIS = 1000;
+    private static final int PATIENCE_MILLIS = 3000;  // with one answer: the first takes half a second of a whole core
+    // With all of them. What is learned after that costs a gateway in service less than being away for longer does, since where
+    // one starts others often start too and those that are left have their clients.
+    private static final long LONGEST_MILLIS = 1000;
 
     private Rehearsal() { }
 
@@ -89,7 +92,8 @@
             socket.setTcpNoDelay(true);
             BufferedReader in = new BufferedReader(
                     new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            for (int i = 0; i < REQUESTS; i++) {
+            long ends = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_MILLIS);
+            for (int i = 0; i < REQUESTS && System.nanoTime() < ends; i++) {
                 RequestClass type = classes.get(i % classes.size());
                 boolean safe = type.repeat() == Repeat.SAFE;
                 String request = (i == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
--- a/src/test/java/mastdrift/EdgeTest.java
+++ b/src/test/java/mastdrift/EdgeTest.java
@@ -9,7 +9,9 @@
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Repeat;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Late, repeated and odd events; settings at their edges. */
@@ -88,6 +90,33 @@
         }
     }
 
+    /** What is listed while nobody is heard counts as told 6 s later: the first asks come well within that, and not together. */
+    @Test
+    void gatewaysThatFailTogetherAskSoonAgainAndNotTogether() {
+        List<Long> waits = new ArrayList<>();
+        for (int i = 0; i < 14; i++) {
+            Gateway gateway = new Gateway();
+            gateway.mustAskIn = 10_000_000;
+            gateway.seed = i;
+            gateway.start(2);
+            gateway.advance(500_002);
+            assertEquals(1, gateway.watches, "asked at once");
+            long failedAt = gateway.now;
+            for (int failures = 1; failures <= 3; failures++) {
+                gateway.module.hosts(gateway.now, ListForm.FAILED, List.of());
+                long since = gateway.now;
+                while (gateway.watches == failures) {
+                    gateway.advance(10_000);
+                }
+                waits.add(gateway.now - since);
+            }
+            assertTrue(gateway.now - failedAt <= 2_700_000, "three calls in " + (gateway.now - failedAt));
+        }
+        List<Long> first = IntStream.range(0, 14).mapToObj(i -> waits.get(3 * i)).sorted().toList();
+        assertTrue(first.get(0) >= 125_000 && first.get(13) <= 390_000, "the first pause: " + first);
+        assertTrue(first.get(11) - first.get(2) > 60_000, "spread: " + first);
+    }
+
     @Test
     void impossibleSettingsAreNamed() {
         Gateway gateway = new Gateway();
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -29,8 +29,10 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import mastdrift.net.Loopback.Message;
 import mastdrift.net.Loopback.Node;
@@ -86,6 +88,25 @@
         }
     }
 
+    /** Guards against hosts that have drained since the gateway was last there: before discovery tells, or has been waited for in
+        vain, no client comes. */
+    @Test
+    void aStartWaitsToBeTold() throws Exception {
+        PrintStream out = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
+        TimedLoop timed = TimedLoop.start();
+        try (Server discovery = discovery(); Server one = host("one")) {
+            Config config = Config.read(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
+            Gateway gateway = Main.prepare(config, timed, out).gateway();
+            CompletableFuture<Void> told = CompletableFuture.runAsync(() -> Main.awaitList(gateway, out));
+            Message asked = await(discovery.received);
+            assertThrows(TimeoutException.class, () -> told.get(100, TimeUnit.MILLISECONDS));
+            tell(asked.socket(), list(7, false, entry("s1", one.address(), "a", "terminating")));
+            told.get(2, TimeUnit.SECONDS);
+        } finally {
+            timed.loop().parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
+
     /** Guards against a stray close: a gateway that can't reach discovery serves by what it knows. */
     @Test
     void withoutDiscoveryTheKnownListServes() throws Exception {
@@ -206,7 +227,11 @@
         try (Server discovery = discovery(); Server one = host("one")) {
             Process process = start(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
             try {
-                await(discovery.received);  // it has started
+                tell(await(discovery.received).socket(), list(1, false));
+                for (int i = 0; !log().contains("listening on"); i++) {
+                    assertTrue(i < LIFE_SECONDS * 100 && process.isAlive(), log());
+                    Thread.sleep(10);
+                }
                 process.destroy();
                 assertTrue(process.waitFor(LIFE_SECONDS, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue(), log());
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -223,8 +223,10 @@
         private final List<Socket> sockets = new ArrayList<>();
 
         Node(Map<String, String> environment) {
-            Main.Started started =
-                    Main.start(Config.read(environment), timed, new PrintStream(log, true, StandardCharsets.UTF_8));
+            PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
+            Config config = Config.read(environment);
+            Main.Started started = Main.prepare(config, timed, out);
+            Main.listen(started, config, out);
             gateway = started.gateway();
             clients = started.clients();
         }
--- /dev/null
+++ b/src/test/java/mastdrift/net/RehearsalTest.java
@@ -0,0 +1,40 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against starts that take the longer the less of a core there is: many gateways that start together have none to spare. */
+class RehearsalTest {
+
+    private static final long SLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void aRehearsalEndsInTimeHoweverSlowTheCore() throws IOException {
+        try (Server discovery = Loopback.discovery()) {
+            Config config = Config.read(Loopback.environment(folder, discovery, Loopback.list(1, true), SETTINGS));
+            TimedLoop slow = TimedLoop.start();
+            // Each turn of the loop takes so long, and a request several turns: 800 would take more than 16 s.
+            slow.loop().scheduleWithFixedDelay(() -> LockSupport.parkNanos(SLOW_NANOS), 0, 1, TimeUnit.MILLISECONDS);
+            List<String> log = new ArrayList<>();
+            long began = System.nanoTime();
+            Main.rehearse(config, slow, log::add);
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+            assertTrue(millis < 6000, "took " + millis + " ms");
+            assertEquals(List.of(), log, "ended by itself");
+        }
+    }
+}
