--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -83,12 +83,12 @@
     private static final double AWAY = 0.3;             // of a share, in another zone
     private static final double EVEN = 0.2;             // part of the way to even use that a refresh goes
     private static final double UNEVEN = 8;             // kinds differ by no more than this
-    // Of the time in which the registry must be asked: what all gateways that start together spread their first
-    // calls over, and the least and the most that the mean of a pause after a failed call is.
+    // Of the time in which the registry must be asked: what gateways that start together spread their first
+    // calls over, and the least mean of a pause after a failed call, which doubles so often.
     private static final int ASK_SPREAD = 20;
     private static final int ASK_LEAST = 40;
     private static final int ASK_DOUBLED = 3;
-    private static final long ASK_PAUSE = 250_000;      // the least where the registry pushes and need not be asked
+    private static final long ASK_PAUSE = 250_000;      // likewise where the registry pushes
     private static final String TIMER = "refresh";
     private static final String ASK = "ask";
 
@@ -1166,8 +1166,8 @@
     @Override
     public void hosts(long now, ListForm form, List<Host> hosts) {
         if (form == ListForm.FAILED) {
-            // What was listed meanwhile counts as told some seconds later, heard or not: soon again, then more
-            // seldom. From half of the mean to 1.5 times, or gateways that failed together would ask together.
+            // What was listed counts as told some seconds later, heard or not: soon again, then more seldom;
+            // from half of the mean to 1.5 times, or gateways that failed together would ask together.
             long least = Math.max(ASK_PAUSE, settings.rules().mustAskIn() / ASK_LEAST);
             long mean = least << Math.min(ASK_DOUBLED, askFailures++);
             actions.timer(now + 1 + mean / 2 + random.nextLong(mean + 1), ASK);
