Lists from discovery that can't be meant are refused whole; their drains are heeded

Seen by reading and by table: an empty whole list dropped every host, an older line of a watch was taken, a negative weight or start went into shares and warmth (a start some seconds ahead of this clock made warmth negative, so that nothing was sent), and a line that dripped kept the read time-out from ever ending the call.

Change: membership.ListGuard, pure, checks each list ahead of the pool: what can't be meant is refused whole with one line that names place, expected and found. What it says of hosts that leave is heeded (rule 3). An empty or older list is believed when the next call tells it again, as a registry that was set back does. Discovery counts time to a whole line instead of to any byte. A start ahead of the clock counts as now.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -1240,7 +1240,7 @@
         server.kind = kinds.computeIfAbsent(host.kind(), k -> new Pool());
         servers.put(host.address(), server);
         if (fresh && host.born() > 0) {
-            chill(now, server, host.born(), settings.rules().warmWithin());
+            chill(now, server, Math.min(now, host.born()), settings.rules().warmWithin());
             server.share = 0;
         }
         return seated == null;
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -22,13 +22,16 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import mastdrift.engine.Clock;
+import mastdrift.engine.Member;
+import mastdrift.membership.ListGuard;
 
 /** Fetches and watches the list of hosts. A call that fails, or a watch that ends, is told once; the module decides
     when to ask again. Discovery may move: then what was asked for is asked for at the new address. */
@@ -51,17 +54,18 @@
     private InetSocketAddress at;
     private final Consumer<HostList> lists;
     private final Consumer<String> failures;
-    private long rev;
+    private final Clock clock = Clock.system();
+    private final ListGuard guard;
     private Channel watch;
     private boolean watchWanted;
     private Channel fetch;
     private long movedAt = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MOVE_MILLIS);
 
-    /** Hears lists and failures on the loop's thread; {@code rev} is the version that is known already, 0 for none. */
-    public Discovery(EventLoop loop, InetSocketAddress at, long rev, Consumer<HostList> lists, Consumer<String> failures) {
+    /** Hears lists and failures on the loop's thread; {@code known} is the list in force already. */
+    public Discovery(EventLoop loop, InetSocketAddress at, HostList known, Consumer<HostList> lists, Consumer<String> failures) {
         this.loop = loop;
         this.at = at;
-        this.rev = rev;
+        guard = new ListGuard(known.rev(), !known.entries().isEmpty());
         this.lists = lists;
         this.failures = failures;
     }
@@ -75,7 +79,7 @@
             before.close();
         }
         if (active) {
-            watch = call("/v1/endpoints?watch=1&from=" + rev, true);
+            watch = call("/v1/endpoints?watch=1&from=" + guard.rev(), true);
         }
     }
 
@@ -114,8 +118,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(),
-                                readTimeout(moving() ? MOVE_TURN_MILLIS : TURN_MILLIS), new Call(watching));
+                        channel.pipeline().addLast(new HttpClientCodec(), new Call(watching));
                     }
                 }).connect(at);
         dialled.addListener(done -> {
@@ -130,10 +133,6 @@
         return dialled.channel();
     }
 
-    private static ReadTimeoutHandler readTimeout(long millis) {
-        return new ReadTimeoutHandler(millis, TimeUnit.MILLISECONDS);
-    }
-
     private boolean replaced(Channel channel, boolean watching) {
         return channel != (watching ? watch : fetch);
     }
@@ -171,7 +170,7 @@
 
         private final boolean watching;
         private ByteBuf text;
-        private boolean begun;
+        private Future<?> due;  // when the next whole line has to be there: bytes alone are no sign of life
         private boolean over;
         private String cause = "the connection ended";
 
@@ -182,10 +181,23 @@
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
             text = context.alloc().heapBuffer();
+            expect(context, moving() ? MOVE_TURN_MILLIS : TURN_MILLIS);
+        }
+
+        private void expect(ChannelHandlerContext context, long millis) {
+            if (due != null) {
+                due.cancel(false);
+            }
+            due = loop.schedule(() -> {
+                cause = "expected a line within " + millis + " ms, found "
+                        + (text.isReadable() ? text.readableBytes() + " bytes of one" : "none");
+                context.close();
+            }, millis, TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void handlerRemoved(ChannelHandlerContext context) {
+            due.cancel(false);
             text.release();
         }
 
@@ -208,30 +220,41 @@
             for (int end = text.bytesBefore((byte) '\n'); watching && end >= 0; end = text.bytesBefore((byte) '\n')) {
                 take(end);
                 text.skipBytes(1);
-                if (!begun) {
-                    begun = true;
-                    context.pipeline().replace(ReadTimeoutHandler.class, null, readTimeout(SILENCE_MILLIS));
-                }
+                expect(context, SILENCE_MILLIS);
             }
             if (last && !watching) {
                 take(text.readableBytes());
                 over = true;
                 ended(false);
             }
-            if (last || text.readableBytes() > MOST) {
+            if (text.readableBytes() > MOST) {
+                cause = "expected a line of " + MOST + " bytes at most, found no end";
+                context.close();
+            } else if (last) {
                 context.close();
             }
         }
 
         private void take(int length) throws IOException {
             byte[] line = ByteBufUtil.getBytes(text.readSlice(length));
-            if (!new String(line, StandardCharsets.UTF_8).isBlank()) {
-                HostList list = HostList.parse(JSON.std.anyFrom(line));
-                if (watching || list.rev() >= rev) {  // a fetched list may be older than what the watch has told since
-                    rev = list.rev();
-                    lists.accept(list);
-                }
+            if (new String(line, StandardCharsets.UTF_8).isBlank()) {
+                return;
+            }
+            HostList list = HostList.parse(JSON.std.anyFrom(line));
+            if (!watching && list.rev() < guard.rev()) {
+                return;  // the watch has told of more since it was fetched
+            }
+            ListGuard.Finding found = guard.check(clock.now(), list.rev(), list.all(),
+                    list.entries().stream().map(Member::host).toList());
+            if (found.fault() == null) {
+                lists.accept(list);
+                return;
+            }
+            if (!found.leaving().isEmpty()) {
+                lists.accept(new HostList(guard.rev(), false, list.entries().stream()
+                        .filter(entry -> found.leaving().contains(entry.host())).toList()));
             }
+            throw new IllegalArgumentException("list " + list.rev() + ", " + found.fault());
         }
 
         @Override
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -29,7 +29,7 @@
         ledger = new Ledger(timed.timers(), timed.clock(), timed.turns(), openMost, this::log);
         pool = new Pool("hosts", ledger, module, config.settings(),
                 new HttpTransport(timed, config.settings(), hostConnections, this::log));
-        discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::learn, this::listFailed);
+        discovery = new Discovery(loop, config.discovery(), config.known(), this::learn, this::listFailed);
         pool.start(new Source() {
             @Override
             public void watch(boolean active) {
--- a/src/main/java/mastdrift/net/HostList.java
+++ b/src/main/java/mastdrift/net/HostList.java
@@ -14,11 +14,16 @@
     public static HostList parse(Object json) {
         if (!(json instanceof Map<?, ?> root && root.get("targets") instanceof List<?> targets
                 && root.get("rev") instanceof Number rev && root.get("all") instanceof Boolean all)) {
-            throw new IllegalArgumentException("expected a list with rev, all and targets");
+            throw new IllegalArgumentException("expected a list with rev, all and targets, found "
+                    + (json instanceof Map<?, ?> other ? "one with " + other.keySet() : "none"));
         }
         List<Member> entries = new ArrayList<>();
         for (Object target : targets) {
-            entries.add(entry(target instanceof Map<?, ?> object ? object : Map.of()));
+            try {
+                entries.add(entry(target instanceof Map<?, ?> object ? object : Map.of()));
+            } catch (IllegalArgumentException | ArithmeticException e) {
+                throw new IllegalArgumentException("list " + rev + ", targets[" + entries.size() + "]: " + e.getMessage(), e);
+            }
         }
         return new HostList(rev.longValue(), all, entries);
     }
@@ -30,10 +35,10 @@
             case "in_service" -> Health.UP;
             case "terminating" -> Health.LEAVING;
             case "terminated" -> Health.GONE;
-            default -> throw new IllegalArgumentException("expected a known state of " + uid + ", not " + state);
+            default -> throw new IllegalArgumentException("expected in_service, terminating or terminated of " + uid + ", found \"" + state + "\"");
         };
         if (uid.isEmpty()) {
-            throw new IllegalArgumentException("expected a uid");
+            throw new IllegalArgumentException("expected a uid, found none");
         }
         // Starts are told in Unix time, as which the gateway's clock began: see Clock.
         long born = Math.multiplyExact(number(target, "boot_ms", 0).longValue(), 1000L);
--- a/src/main/java/mastdrift/serve/DiscoverySource.java
+++ b/src/main/java/mastdrift/serve/DiscoverySource.java
@@ -37,7 +37,7 @@
         this.pool = pool;
         this.control = control;
         this.log = log;
-        discovery = new Discovery(loop, at, 0, this::heard, this::failed);
+        discovery = new Discovery(loop, at, new HostList(0, true, List.of()), this::heard, this::failed);
     }
 
     private void heard(HostList list) {
--- /dev/null
+++ b/src/test/java/mastdrift/net/BadListTest.java
@@ -0,0 +1,117 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.tell;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Node;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Discovery that tells what can't be meant or read: the last good list stays in force, one line of the log says what was expected
+    where and what was found, and the next call comes soon. */
+class BadListTest {
+
+    @TempDir
+    private Path folder;
+
+    private static void served(Node node, String body) throws IOException {
+        assertEquals(body, node.ask(read(20_000)).text());
+    }
+
+    private static String log(Node node) {
+        return node.log.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Serves by the list of revision 7, whose one host is s2. */
+    private void afterGoodList(Server two, Server discovery, Node node, BadList bad, String expected) throws Exception {
+        Message first = await(discovery.received);
+        tell(first.socket(), list(7, true, entry("s2", two.address(), "a", "in_service")));
+        for (int i = 0; !log(node).contains("list 7"); i++) {
+            assertTrue(i < Loopback.WAIT_SECONDS * 100, log(node));
+            Thread.sleep(10);
+        }
+        served(node, "two");
+        bad.tell(first.socket());
+        assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", await(discovery.received).line());
+        served(node, "two");
+        String log = log(node);
+        assertTrue(log.contains("discovery failed: ") && log.contains(expected), log);
+        assertEquals(log.indexOf("discovery failed"), log.lastIndexOf("discovery failed"), log);
+    }
+
+    private interface BadList {
+        void tell(Socket watch) throws Exception;
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "{\"rev\":8,\"all\":true,\"targ | Unexpected end-of-input",
+        "{\"rev\":8,\"all\":true} | expected a list with rev, all and targets, found one with [rev, all]",
+        "{\"rev\":8,\"all\":true,\"targets\":[]} | list 8, targets: expected hosts, found none",
+        "{\"rev\":6,\"all\":true,\"targets\":[S1]} | list 6, rev: expected 7 or newer, found 6",
+        "{\"rev\":8,\"all\":true,\"targets\":[S1,S1]} | targets[1] (s1): expected each uid once, found it again",
+        "{\"rev\":8,\"all\":true,\"targets\":[S1,{\"uid\":\"x\",\"endpoint\":\"127.0.0.1:70000\",\"state\":\"in_service\"}]} | targets[1]: expected address:port, not 127.0.0.1:70000",
+        "{\"rev\":8,\"all\":true,\"targets\":[{\"uid\":\"x\",\"endpoint\":\"127.0.0.1:7\",\"state\":\"up\"}]} | targets[0]: expected in_service, terminating or terminated of x, found \"up\"",
+        "{\"rev\":8,\"all\":true,\"targets\":[{\"uid\":\"x\",\"endpoint\":\"127.0.0.1:7\",\"state\":\"in_service\",\"capacity_hint\":-1}]} | targets[0] (x).capacity_hint: expected 0 to 1000000, found -1.0",
+        "{\"rev\":8,\"all\":true,\"targets\":[{\"uid\":\"x\",\"endpoint\":\"127.0.0.1:7\",\"state\":\"in_service\",\"boot_ms\":-5}]} | targets[0] (x).boot_ms: expected 0 or a time up to now, found -5",
+        "{\"rev\":8,\"all\":true,\"targets\":[{\"uid\":\"x\",\"endpoint\":\"127.0.0.1:7\",\"state\":\"in_service\",\"boot_ms\":9223372036854775807}]} | targets[0]: long overflow"})
+    void whatCantBeMeantIsNotTaken(String line, String expected) throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, entry("s1", one.address(), "a", "in_service")), SETTINGS))) {
+            String s1 = entry("s1", one.address(), "a", "in_service");
+            afterGoodList(two, discovery, node, watch -> tell(watch, line.replace("S1", s1)), expected);
+        }
+    }
+
+    /** A line that goes on and on is no sign of life, however many bytes come. */
+    @Test
+    void aLineWithoutEndIsABreak() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, entry("s1", one.address(), "a", "in_service")), SETTINGS))) {
+            afterGoodList(two, discovery, node, watch -> {
+                for (int i = 0; i < 100 && discovery.received.isEmpty(); i++) {
+                    try {
+                        write(watch, "1\r\n{\r\n");
+                    } catch (IOException closed) {
+                        return;
+                    }
+                    Thread.sleep(100);
+                }
+            }, "expected a line within 2500 ms, found ");
+        }
+    }
+
+    /** Rule 3 goes before: what a list that is refused says of a drain counts as told. */
+    @Test
+    void aDrainInAListThatIsRefusedIsHeeded() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, entry("s1", one.address(), "a", "in_service"),
+                        entry("s2", two.address(), "a", "in_service")), SETTINGS))) {
+            Message first = await(discovery.received);
+            tell(first.socket(), list(8, false, entry("s1", one.address(), "a", "terminating"),
+                    "{\"uid\":\"x\",\"endpoint\":\"127.0.0.1:7\",\"state\":\"in_service\",\"capacity_hint\":-1}"));
+            await(discovery.received);
+            for (int i = 0; i < 20; i++) {
+                served(node, "two");
+            }
+        }
+    }
+}
