Counts of a fleet from its gateways' logs; a start rehearses while it waits for its list

Need: what many gateways do together shows in no gateway alone; the issue asks for counts from the gateways' own logs by one command.

The rehearsal ends after 1 s once the list is there, after 4 s at the latest.

--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -6,12 +6,14 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import mastdrift.Balancer;
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.engine.Ledger;
 import mastdrift.engine.Pool;
 import mastdrift.engine.Source;
+import mastdrift.engine.Transport;
 
 /** The platform's gateway: one pool, to which every request goes, with its hosts from discovery. */
 final class Gateway implements ClientSide.Router {
@@ -23,14 +25,12 @@
     private final CompletableFuture<Void> told = new CompletableFuture<>();
 
     /** Starts the module; on the loop's thread. */
-    Gateway(Config config, TimedLoop timed, Balancer module, int hostConnections, int openMost, PrintStream out) {
+    Gateway(Config config, TimedLoop timed, Balancer module, int hostConnections, int openMost, boolean tally, PrintStream out) {
         this.out = out;
         EventLoop loop = timed.loop();
         ledger = new Ledger(timed.timers(), timed.clock(), timed.turns(), openMost, this::log);
-        pool = new Pool("hosts", ledger, module, config.settings(),
-                new HttpTransport(timed, config.settings(), hostConnections, this::log));
-        discovery = new Discovery(loop, config.discovery(), config.known(), this::learn, this::listFailed);
-        pool.start(new Source() {
+        Transport hosts = new HttpTransport(timed, config.settings(), hostConnections, this::log);
+        Source source = new Source() {
             @Override
             public void watch(boolean active) {
                 discovery.watch(active);
@@ -40,7 +40,19 @@
             public void fetch() {
                 discovery.fetch();
             }
-        }, config.known().entries());
+        };
+        Consumer<HostList> lists = this::learn;
+        Consumer<String> failures = this::listFailed;
+        if (tally) {
+            Tallying tallying = new Tallying(hosts, timed, config.settings().rules().warmWithin(), ledger, this::log);
+            hosts = tallying;
+            source = tallying.source(source);
+            lists = tallying.lists(lists);
+            failures = tallying.failures(failures);
+        }
+        pool = new Pool("hosts", ledger, module, config.settings(), hosts);
+        discovery = new Discovery(loop, config.discovery(), config.known(), lists, failures);
+        pool.start(source, config.known().entries());
         logList(config.known());
         if (!config.settings().registryOnRequest()) {
             discovery.watch(true);
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -24,6 +25,7 @@
 
     // Of the descriptors: for the program's own files, discovery, and connections that come and go.
     private static final int RESERVED = 96;
+    private static final String TALLY = "--tally";
     private static final int STOP_SECONDS = 4;
     // For so long a start waits for discovery, beside what it has to do anyway: a call that waits for its turn, and one more.
     private static final int TOLD_SECONDS = 5;
@@ -33,8 +35,14 @@
 
     private Main() { }
 
-    /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. */
+    /** Runs until SIGTERM; exits with status 2 where the configuration can't be run with. One word, {@value #TALLY}, has it write
+        what it counts to its log, a line a second. */
     public static void main(String[] args) {
+        boolean tally = args.length == 1 && args[0].equals(TALLY);
+        if (args.length > 0 && !tally) {
+            System.err.println("can't start: expected " + TALLY + " or nothing, found " + String.join(" ", args));
+            System.exit(2);
+        }
         quiet();
         TimedLoop timed = TimedLoop.start();
         EventLoop loop = timed.loop();
@@ -43,8 +51,8 @@
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, loop)));
         try {
             Config config = Config.read(System.getenv());
-            Started now = prepare(config, timed, System.out);  // asks discovery, whose answer takes its time
-            rehearse(config, TimedLoop.start(), System.out::println);
+            Started now = prepare(config, timed, tally, System.out);  // asks discovery, whose answer takes its time
+            rehearse(config, TimedLoop.start(), () -> !now.gateway().told().isDone(), System.out::println);
             awaitList(now.gateway(), System.out);
             listen(now, config, System.out);
             ClientSide clients = now.clients();
@@ -66,12 +74,13 @@
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     }
 
-    static void rehearse(Config config, TimedLoop on, Consumer<String> log) {
+    static void rehearse(Config config, TimedLoop on, BooleanSupplier waits, Consumer<String> log) {
         PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
         Rehearsal.play((hosts, at) -> Started.with(new Config(at, at, config.sockets(), new HostList(0, true, hosts),
-                config.settings()), on, hosts.size() * 2, hosts.size(), hosts.size(), silent).clients(),
+                config.settings()), on, hosts.size() * 2, hosts.size(), hosts.size(), false,
+                silent).clients(),
                 config.settings().classes(), config.settings().tenants(), config.settings().site().zone(),
-                config.listen().getAddress(), on.loop(), log);
+                config.listen().getAddress(), on.loop(), waits, log);
     }
 
     /** The only way to hear a signal that is not the end of the program; javac warns of the package, whatever is asked. */
@@ -93,19 +102,20 @@
     record Started(Gateway gateway, ClientSide clients) {
 
         /** On the loop's thread. */
-        static Started with(Config config, TimedLoop loop, int hostConnections, int openMost, int clients, PrintStream out) {
-            Gateway gateway = new Gateway(config, loop, new Balance(), hostConnections, openMost, out);
+        static Started with(Config config, TimedLoop loop, int hostConnections, int openMost, int clients, boolean tally,
+                PrintStream out) {
+            Gateway gateway = new Gateway(config, loop, new Balance(), hostConnections, openMost, tally, out);
             return new Started(gateway, new ClientSide(loop.loop(), gateway.ledger(), gateway, config.settings().classes(),
                     config.settings().tenants(), clients, gateway::log));
         }
     }
 
     /** Starts a gateway on the loop, not yet listening; throws IllegalArgumentException for a configuration it can't run with. */
-    static Started prepare(Config config, TimedLoop loop, PrintStream out) {
+    static Started prepare(Config config, TimedLoop loop, boolean tally, PrintStream out) {
         // Of the clients' half, an eighth is for answering those that come beyond the requests held.
         int most = Math.max(8, (Math.min(config.sockets(), 1 << 16) - RESERVED) / 2);
         return CompletableFuture.supplyAsync(
-                () -> Started.with(config, loop, most, most - most / 8, most, out), loop.loop()).join();
+                () -> Started.with(config, loop, most, most - most / 8, most, tally, out), loop.loop()).join();
     }
 
     /** What a gateway knew when it ended may be long over, hosts that have drained since among it: clients come to one that has
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import mastdrift.Balancer.Health;
@@ -51,15 +52,17 @@
     private static final int HOSTS = 8;
     private static final int FAILING = 16;  // of so many requests one fails, so that other paths are met too
     private static final int PATIENCE_MILLIS = 3000;  // with one answer: the first takes half a second of a whole core
-    // With all of them. What is learned after that costs a gateway in service less than being away for longer does, since where
-    // one starts others often start too and those that are left have their clients.
-    private static final long LONGEST_MILLIS = 1000;
+    // With all of them, where nothing else is waited for. What is learned after that costs a gateway in service less than being
+    // away for longer does, since where one starts others often start too and those that are left have their clients.
+    private static final long LONG_MILLIS = 1000;
+    private static final long LONGEST_MILLIS = 4000;
 
     private Rehearsal() { }
 
-    /** Plays it once, on an address of this machine; a rehearsal that goes wrong costs speed alone. Ends the loop. */
+    /** Plays it once, on an address of this machine; a rehearsal that goes wrong costs speed alone. After a second it ends as soon
+        as nobody {@code waits} for anything else. Ends the loop. */
     public static void play(Stage stage, List<RequestClass> classes, List<Tenant> tenants, String zone, InetAddress address,
-            EventLoop loop, Consumer<String> log) {
+            EventLoop loop, BooleanSupplier waits, Consumer<String> log) {
         InetSocketAddress any = new InetSocketAddress(address, 0);
         try {
             Channel host = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -75,7 +78,7 @@
                     new Host("rehearsal-" + i, zone, 0, "", 1, Health.UP, 0), at)).toList();
             ClientSide clients = CompletableFuture.supplyAsync(() -> stage.open(hosts, at), loop).join();
             clients.listen(any).sync();
-            ask(clients.address(), classes, tenants);
+            ask(clients.address(), classes, tenants, waits);
         } catch (IOException e) {
             log.accept("rehearsal ended early: " + e);
         } catch (InterruptedException e) {
@@ -85,15 +88,20 @@
         }
     }
 
-    private static void ask(InetSocketAddress at, List<RequestClass> classes, List<Tenant> tenants) throws IOException {
+    private static void ask(InetSocketAddress at, List<RequestClass> classes, List<Tenant> tenants, BooleanSupplier waits)
+            throws IOException {
         String tenant = tenants.isEmpty() ? "none" : tenants.get(0).name();
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(PATIENCE_MILLIS);
             socket.setTcpNoDelay(true);
             BufferedReader in = new BufferedReader(
                     new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            long ends = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_MILLIS);
-            for (int i = 0; i < REQUESTS && System.nanoTime() < ends; i++) {
+            long began = System.nanoTime();
+            for (int i = 0; i < REQUESTS; i++) {
+                long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+                if (millis >= LONGEST_MILLIS || millis >= LONG_MILLIS && !waits.getAsBoolean()) {
+                    return;
+                }
                 RequestClass type = classes.get(i % classes.size());
                 boolean safe = type.repeat() == Repeat.SAFE;
                 String request = (i == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
--- /dev/null
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -0,0 +1,195 @@
+package mastdrift.net;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import mastdrift.Balancer.Health;
+import mastdrift.Balancer.LoadReport;
+import mastdrift.Balancer.Outcome;
+import mastdrift.Balancer.Why;
+import mastdrift.engine.Answer;
+import mastdrift.engine.Call;
+import mastdrift.engine.Clock;
+import mastdrift.engine.Ledger;
+import mastdrift.engine.Member;
+import mastdrift.engine.ServiceCount;
+import mastdrift.engine.Source;
+import mastdrift.engine.Timers;
+import mastdrift.engine.Transport;
+import mastdrift.tally.Count;
+import mastdrift.tally.Second;
+
+/** Counts what passes a transport, and writes a line a second in which there was anything. Where it is off, none of it is loaded:
+    it stands before the transport, and nothing of the gateway asks whether it is there. */
+final class Tallying implements Transport {
+
+    private static final long SECOND = 1_000_000;
+
+    private final Transport transport;
+    private final Clock clock;
+    private final Timers timers;
+    private final long warmWithin;
+    private final Ledger ledger;
+    private final Consumer<String> log;
+    private final Set<String> cold = new HashSet<>();
+    private final long[] answers = new long[2 + Why.values().length];
+    private Second second;
+
+    Tallying(Transport transport, TimedLoop timed, long warmWithin, Ledger ledger, Consumer<String> log) {
+        this.transport = transport;
+        clock = timed.clock();
+        timers = timed.timers();
+        this.warmWithin = warmWithin;
+        this.ledger = ledger;
+        this.log = log;
+        begin();
+    }
+
+    private void begin() {
+        long now = clock.now();
+        second = new Second(now / SECOND);
+        timers.after(SECOND - now % SECOND, this::tell);
+    }
+
+    private void tell() {
+        answered();
+        String line = second.line();
+        if (line.indexOf('=') != line.lastIndexOf('=')) {
+            log.accept(line);
+        }
+        begin();
+    }
+
+    /** Final answers are counted by the ledger as they come, and from it here by difference. */
+    private void answered() {
+        long[] now = new long[answers.length];
+        for (ServiceCount.Of of : ledger.count().classes().values()) {
+            now[0] += of.served();
+            now[1] += of.failed();
+            for (Why why : Why.values()) {
+                now[2 + why.ordinal()] += of.refused(why);
+            }
+        }
+        second.add(Count.SERVED, now[0] - answers[0]);
+        second.add(Count.FAILED, now[1] - answers[1]);
+        for (Why why : Why.values()) {
+            second.add(Count.valueOf("REFUSED_" + why.name()), now[2 + why.ordinal()] - answers[2 + why.ordinal()]);
+        }
+        System.arraycopy(now, 0, answers, 0, now.length);
+    }
+
+    /** Counts calls to discovery. */
+    Source source(Source of) {
+        return new Source() {
+            @Override
+            public void watch(boolean active) {
+                second.add(Count.CALLS);
+                of.watch(active);
+            }
+
+            @Override
+            public void fetch() {
+                second.add(Count.CALLS);
+                of.fetch();
+            }
+        };
+    }
+
+    /** Counts lists that discovery told. */
+    Consumer<HostList> lists(Consumer<HostList> then) {
+        return list -> {
+            second.add(Count.LISTS);
+            then.accept(list);
+        };
+    }
+
+    /** Counts calls to it that failed. */
+    Consumer<String> failures(Consumer<String> then) {
+        return cause -> {
+            second.add(Count.CALLS_FAILED);
+            then.accept(cause);
+        };
+    }
+
+    @Override
+    public Attempt send(String uid, Call call, long timeout, Ended ended) {
+        second.add(Count.SENDS);
+        second.sent(uid);
+        if (cold.contains(uid)) {
+            second.add(Count.COLD);
+        }
+        return transport.send(uid, call, timeout, new Ended() {
+            @Override
+            public void ended(Outcome outcome, Answer answer, LoadReport report) {
+                second.add(Count.valueOf(outcome.name()));
+                if (outcome != Outcome.DELIVERED && outcome != Outcome.REVOKED && outcome != Outcome.UNUSED) {
+                    second.lost(uid);
+                }
+                ended.ended(outcome, answer, report);
+            }
+
+            @Override
+            public void step() {
+                second.add(Count.OPENED);
+                ended.step();
+            }
+
+            @Override
+            public void passed(long sent, long received) {
+                ended.passed(sent, received);
+            }
+        });
+    }
+
+    @Override
+    public void probe(String uid, Probed probed) {
+        second.add(Count.PROBES);
+        transport.probe(uid, new Probed() {
+            @Override
+            public void probed(Outcome outcome, LoadReport report) {
+                if (outcome != Outcome.DELIVERED) {
+                    second.add(Count.PROBES_FAILED);
+                }
+                probed.probed(outcome, report);
+            }
+
+            @Override
+            public void passed(long sent, long received) {
+                probed.passed(sent, received);
+            }
+        });
+    }
+
+    @Override
+    public void update(boolean all, List<Member> members, long toldAt) {
+        if (all) {
+            cold.clear();
+        }
+        for (Member member : members) {
+            String uid = member.host().address();
+            long warm = member.host().born() + warmWithin;
+            cold.remove(uid);
+            if (member.host().health() == Health.UP && member.host().born() > 0 && warm > clock.now()) {
+                cold.add(uid);
+                timers.after(warm - clock.now(), () -> cold.remove(uid));
+            }
+        }
+        transport.update(all, members, toldAt);
+    }
+
+    @Override
+    public void count(Strays strays) {
+        transport.count(strays);
+    }
+
+    @Override
+    public void closeIdle(String uid) {
+        transport.closeIdle(uid);
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+    }
+}
--- a/src/test/java/mastdrift/ArchitectureTest.java
+++ b/src/test/java/mastdrift/ArchitectureTest.java
@@ -20,7 +20,7 @@
 class ArchitectureTest {
 
     /** From the ground up; those on one floor don't import each other. */
-    private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings", "mastdrift.events"),
+    private static final List<List<String>> FLOORS = List.of(List.of("mastdrift"), List.of("mastdrift.settings", "mastdrift.events", "mastdrift.tally"),
             List.of("mastdrift.membership", "mastdrift.radius", "mastdrift.routing",
                     "mastdrift.lateness", "mastdrift.limits", "mastdrift.lab.draw", "mastdrift.zones", "mastdrift.peers"), List.of("mastdrift.config"), List.of("mastdrift.engine"),
             List.of("mastdrift.net", "mastdrift.files", "mastdrift.wire", "mastdrift.radius.edge", "mastdrift.zones.edge", "mastdrift.lab.model", "mastdrift.logging"), List.of("mastdrift.serve", "mastdrift.standin", "mastdrift.lab.load"),
--- a/src/test/java/mastdrift/net/ConnectionBoundsTest.java
+++ b/src/test/java/mastdrift/net/ConnectionBoundsTest.java
@@ -63,7 +63,7 @@
         Config config = Config.read(environment(folder, discovery, list(1, true, entry("s1", host.address(), "a", "in_service")),
                 SETTINGS));
         clients = timed.loop().submit(() -> {
-            Gateway gateway = new Gateway(config, timed, new Balance(), 100, 100,
+            Gateway gateway = new Gateway(config, timed, new Balance(), 100, 100, false,
                     new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
             return new ClientSide(timed.loop(), gateway.ledger(), gateway, config.settings().classes(),
                     config.settings().tenants(), MOST, BOUNDS, line -> { });
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -88,7 +88,7 @@
         try (Server discovery = discovery()) {
             Config config = Config.read(environment(folder, discovery, list(1, true), SETTINGS));
             loop.submit(() -> {
-                Gateway gateway = new Gateway(config, timed, module, 8, 8,
+                Gateway gateway = new Gateway(config, timed, module, 8, 8, false,
                         new PrintStream(log, true, StandardCharsets.UTF_8));
                 gateway.ledger().take(gateway.pool(null, null, null, null), client, new HttpCall(
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api")),
--- a/src/test/java/mastdrift/net/LatenessTest.java
+++ b/src/test/java/mastdrift/net/LatenessTest.java
@@ -65,7 +65,7 @@
             Config config = Config.read(environment(folder, discovery, list(1, true, entries), SETTINGS));
             Balancer module = listenedTo(new Balance());
             clients = timed.loop().submit(() -> {
-                Gateway gateway = new Gateway(config, timed, module, 100, 100,
+                Gateway gateway = new Gateway(config, timed, module, 100, 100, false,
                         new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
                 return new ClientSide(timed.loop(), gateway.ledger(), gateway, config.settings().classes(),
                         config.settings().tenants(), 100, line -> { });
--- a/src/test/java/mastdrift/net/Loopback.java
+++ b/src/test/java/mastdrift/net/Loopback.java
@@ -223,9 +223,13 @@
         private final List<Socket> sockets = new ArrayList<>();
 
         Node(Map<String, String> environment) {
+            this(environment, false);
+        }
+
+        Node(Map<String, String> environment, boolean tally) {
             PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
             Config config = Config.read(environment);
-            Main.Started started = Main.prepare(config, timed, out);
+            Main.Started started = Main.prepare(config, timed, tally, out);
             Main.listen(started, config, out);
             gateway = started.gateway();
             clients = started.clients();
