Idle connections are given back where hosts turn new ones away

About 23 connections stood at each host left. Ruled out: draining hosts (the busiest warm ones turn away most, 0.2 to 0.35 of attempts) and full queues (the same hosts answer those that have a connection). At fault: HostPool kept every idle connection for 4 s at every host, which fills the tables that fourteen gateways share; those that hold them open none and see nothing of it.

Change: limits.IdleKeep, pure: idle connections are kept for 4 s where no new one is turned away, down to 0.2 s where a fifth is, in equal ratios between, by what the last seconds showed.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -45,6 +45,7 @@
 import mastdrift.engine.Member;
 import mastdrift.engine.Timers;
 import mastdrift.engine.Transport;
+import mastdrift.limits.IdleKeep;
 
 /** Connections to hosts. Carries out what it is told on the host that it is told, once, and says how that ended. */
 final class HostPool {
@@ -61,6 +62,7 @@
     // An answer of this size has come at once but for a lost packet, which is sent again after 200 ms: one that stalls
     // for longer won't end.
     private static final long STALL = 250_000;
+    private static final long SWEEP = 250_000;  // idle connections are looked through so often
     private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
 
     /** Hears how an attempt ended, exactly once; the answer is there where the host gave one. */
@@ -90,7 +92,7 @@
     private final Timers timers;
     private final Bootstrap bootstrap;
     private final Future<?> sweeps;
-    private final long idleMost;
+    private final IdleKeep keep;
     private final long grace;
     private final int most;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -106,7 +108,8 @@
         this.grace = Math.max(0, grace - GRACE_SPARE);
         this.most = most;
         this.faults = faults;
-        idleMost = (long) (idle * IDLE_PART);
+        long idleMost = (long) (idle * IDLE_PART);
+        keep = new IdleKeep(idleMost);
         bootstrap = new Bootstrap().group(loop).channelFactory(() -> strays == null ? new NioSocketChannel() : CountedChannel.create())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1000))
@@ -118,7 +121,7 @@
                                 new HttpObjectAggregator(BODY_MOST), new Connection(channel, answers));
                     }
                 });
-        long sweep = Math.min(idleMost / 8 + 1, 1_000_000);
+        long sweep = Math.min(idleMost / 8 + 1, SWEEP);
         sweeps = loop.scheduleWithFixedDelay(this::closeAged, sweep, sweep, TimeUnit.MICROSECONDS);
     }
 
@@ -229,8 +232,10 @@
     }
 
     private Connection takeIdle(Peer peer) {
+        long now = clock.getAsLong();
+        long most = keep.most(now);
         for (Connection idle = peer.idle.poll(); idle != null; idle = peer.idle.poll()) {
-            if (idle.channel.isActive() && clock.getAsLong() - idle.idleSince < idleMost) {
+            if (idle.channel.isActive() && now - idle.idleSince < most) {
                 return idle;
             }
             idle.channel.close();
@@ -249,7 +254,8 @@
     }
 
     private void closeAged() {
-        long before = clock.getAsLong() - idleMost;
+        long now = clock.getAsLong();
+        long before = now - keep.most(now);
         for (Peer peer : peers.values()) {
             while (!peer.idle.isEmpty() && peer.idle.peekLast().idleSince <= before) {
                 peer.idle.pollLast().channel.close();
@@ -378,6 +384,8 @@
         private long born;
         private Attempt attempt;
         private boolean answered;
+        private boolean used;
+        private boolean fresh;  // what is on it is the first
         private int interim;
         private long idleSince;
         private long toldSent;
@@ -396,6 +404,8 @@
                 channel.close();
                 return;
             }
+            fresh = !used;
+            used = true;
             attempt = next;
             next.connection = this;
             next.sending = true;
@@ -434,7 +444,11 @@
                 channel.close();
             }
             if (mine != null) {
-                mine.end(whole ? outcome(answer) : Outcome.DROPPED, answer);
+                Outcome outcome = whole ? outcome(answer) : Outcome.DROPPED;
+                if (fresh) {
+                    keep.opened(idleSince, outcome == Outcome.SHED);
+                }
+                mine.end(outcome, answer);
             }
         }
 
--- a/src/test/java/mastdrift/LargeFleetTest.java
+++ b/src/test/java/mastdrift/LargeFleetTest.java
@@ -131,6 +131,57 @@
         assertTrue(sent > 150 * 20, "sent to cold hosts in all: " + sent);
     }
 
+    /**
+     * Fourteen gateways of sixty requests a second, three tenths of them about one key, and twenty hosts, one of which, or a whole zone
+     * of which, is cold from one moment on; some gateways have only just started. Nobody falls, and what the rest can take is served.
+     */
+    @ParameterizedTest
+    @CsvSource({"500, 1, 0", "100, 10, 0", "100, 10, 10"})
+    void aZoneThatComesBackColdIsNotPushedOver(int seeds, int coldHosts, int started) {
+        int fallen = 0;
+        int asked = 0;
+        int taken = 0;
+        long sentCold = 0;
+        for (int seed = 0; seed < seeds; seed++) {
+            Map<String, List<Long>> times = new HashMap<>();
+            long born = 0;
+            for (int i = 0; i < 14; i++) {
+                Gateway gateway = gateway(i, 14, seed * 14L + i).start(20);
+                SplittableRandom random = new SplittableRandom(seed * 14L + i);
+                if (i >= started) {
+                    gateway.serve(60, 17_000, 20_000);
+                } else {
+                    gateway.advance(60 * 17_000);
+                }
+                born = gateway.now;
+                Host[] back = new Host[coldHosts];
+                for (int k = 0; k < coldHosts; k++) {
+                    back[k] = Gateway.up(2 * k + 1, born);
+                }
+                gateway.list(ListForm.DELTA, back);
+                for (int k = 0; k < 180; k++) {
+                    gateway.advance((long) (-17_000 * Math.log(1 - random.nextDouble())));
+                    int before = gateway.sent.size();
+                    gateway.request(random.nextDouble() < 0.3 ? HOT + seed : random.nextLong());
+                    asked++;
+                    if (gateway.sent.size() > before) {
+                        taken++;
+                        times.computeIfAbsent(gateway.last().address(), address -> new ArrayList<>()).add(gateway.now);
+                        gateway.end(gateway.last(), Outcome.DELIVERED, 20_000);
+                    }
+                }
+            }
+            for (int k = 0; k < coldHosts; k++) {
+                List<Long> of = times.getOrDefault("h" + (2 * k + 1), List.of());
+                sentCold += of.size();
+                fallen += fell(of, born, 80) ? 1 : 0;  // of a host's 42 a second when all are warm
+            }
+        }
+        assertEquals(0, fallen, "of " + seeds * coldHosts + " cold hosts");
+        assertTrue(taken > 0.99 * asked, "taken " + taken + " of " + asked);
+        assertTrue(sentCold > 5L * seeds * coldHosts, "sent to cold hosts in all: " + sentCold);
+    }
+
     private static boolean fell(List<Long> times, long born, double capacity) {
         double bucket = 0;
         long at = born;
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -105,6 +105,26 @@
         assertNotNull(await(one.ended));
     }
 
+    /** Guards against places that one gateway keeps for nothing while others are turned away: one that is itself turned away as soon as it
+        comes gives back what it has idle elsewhere, much sooner than hosts would close it. */
+    @Test
+    void idleConnectionsAreGivenBackWhereNewOnesAreTurnedAway() throws Exception {
+        try (Server full = new Server(message -> write(message.socket(), "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\n"
+                + "Content-Length: 0\r\nConnection: close\r\n\r\n"))) {
+            HostPool pool = pool(10);
+            onLoop(() -> {
+                update(pool, list(2, false, entry("s2", full.address(), "a", "in_service")));
+                return null;
+            });
+            assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+            for (int i = 0; i < 3; i++) {
+                assertEquals(Outcome.SHED, outcome(pool, "s2"));
+            }
+            clock.addAndGet(IDLE / 4);
+            assertNotNull(await(one.ended));
+        }
+    }
+
     @Test
     void idleConnectionsCloseWhenAskedTo() throws Exception {
         HostPool pool = pool(10);
