Rehearsal of eight requests at a time for 2 s; full queues are no full tables of connections

At fault: LONG_MILLIS of net.Rehearsal, and its one request at a time, of which most is turns of two threads.

Change: eight connections are asked together, and for 2 s where the list is there already. IdleKeep compares new connections with those that had carried a request: a full queue turns both away alike, and giving connections back for it would cost handshakes alone.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -447,6 +447,8 @@
                 Outcome outcome = whole ? outcome(answer) : Outcome.DROPPED;
                 if (fresh) {
                     keep.opened(idleSince, outcome == Outcome.SHED);
+                } else {
+                    keep.again(idleSince, outcome == Outcome.SHED);
                 }
                 mine.end(outcome, answer);
             }
--- a/src/main/java/mastdrift/net/Rehearsal.java
+++ b/src/main/java/mastdrift/net/Rehearsal.java
@@ -50,16 +50,17 @@
 
     private static final int REQUESTS = 800;
     private static final int HOSTS = 8;
+    private static final int TOGETHER = 8;  // on as many connections: fewer turns of both threads, and as in service
     private static final int FAILING = 16;  // of so many requests one fails, so that other paths are met too
     private static final int PATIENCE_MILLIS = 3000;  // with one answer: the first takes half a second of a whole core
     // With all of them, where nothing else is waited for. What is learned after that costs a gateway in service less than being
     // away for longer does, since where one starts others often start too and those that are left have their clients.
-    private static final long LONG_MILLIS = 1000;
+    private static final long LONG_MILLIS = 2000;
     private static final long LONGEST_MILLIS = 4000;
 
     private Rehearsal() { }
 
-    /** Plays it once, on an address of this machine; a rehearsal that goes wrong costs speed alone. After a second it ends as soon
+    /** Plays it once, on an address of this machine; a rehearsal that goes wrong costs speed alone. After two seconds it ends as soon
         as nobody {@code waits} for anything else. Ends the loop. */
     public static void play(Stage stage, List<RequestClass> classes, List<Tenant> tenants, String zone, InetAddress address,
             EventLoop loop, BooleanSupplier waits, Consumer<String> log) {
@@ -91,30 +92,47 @@
     private static void ask(InetSocketAddress at, List<RequestClass> classes, List<Tenant> tenants, BooleanSupplier waits)
             throws IOException {
         String tenant = tenants.isEmpty() ? "none" : tenants.get(0).name();
-        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
-            socket.setSoTimeout(PATIENCE_MILLIS);
-            socket.setTcpNoDelay(true);
-            BufferedReader in = new BufferedReader(
-                    new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        Socket[] sockets = new Socket[TOGETHER];
+        try {
+            BufferedReader[] in = new BufferedReader[TOGETHER];
+            for (int i = 0; i < TOGETHER; i++) {
+                sockets[i] = new Socket(at.getAddress(), at.getPort());
+                sockets[i].setSoTimeout(PATIENCE_MILLIS);
+                sockets[i].setTcpNoDelay(true);
+                in[i] = new BufferedReader(new InputStreamReader(sockets[i].getInputStream(), StandardCharsets.ISO_8859_1));
+            }
             long began = System.nanoTime();
-            for (int i = 0; i < REQUESTS; i++) {
+            for (int i = 0; i < REQUESTS; i += TOGETHER) {
                 long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
                 if (millis >= LONGEST_MILLIS || millis >= LONG_MILLIS && !waits.getAsBoolean()) {
                     return;
                 }
-                RequestClass type = classes.get(i % classes.size());
-                boolean safe = type.repeat() == Repeat.SAFE;
-                String request = (i == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
-                        + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + i + "\r\nX-Qos: " + type.name()
-                        + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + i % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
-                        + PATIENCE_MILLIS + (type.repeat() == Repeat.KEYED ? "\r\nIdempotency-Key: " + i : "")
-                        + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : "4\r\n\r\nbody");
-                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-                readAnswer(in);
+                for (int k = 0; k < TOGETHER; k++) {
+                    sockets[k].getOutputStream().write(request(i + k, classes.get((i + k) % classes.size()), tenant));
+                }
+                for (int k = 0; k < TOGETHER; k++) {
+                    readAnswer(in[k]);
+                }
+            }
+        } finally {
+            for (Socket socket : sockets) {
+                if (socket != null) {
+                    socket.close();
+                }
             }
         }
     }
 
+    private static byte[] request(int number, RequestClass type, String tenant) {
+        boolean safe = type.repeat() == Repeat.SAFE;
+        String request = (number == 0 ? "GET /ready" : safe ? "GET /api" : "POST /api")
+                + " HTTP/1.1\r\nHost: rehearsal\r\nX-Trace-Id: " + number + "\r\nX-Qos: " + type.name()
+                + "\r\nX-Customer: " + tenant + "\r\nX-Object: " + number % HOSTS + "\r\n" + HostPool.EXPIRES + ": "
+                + PATIENCE_MILLIS + (type.repeat() == Repeat.KEYED ? "\r\nIdempotency-Key: " + number : "")
+                + "\r\nContent-Length: " + (safe ? "0\r\n\r\n" : "4\r\n\r\nbody");
+        return request.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     private static void readAnswer(BufferedReader in) throws IOException {
         int length = 0;
         for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
--- a/src/test/java/mastdrift/limits/IdleKeepTest.java
+++ b/src/test/java/mastdrift/limits/IdleKeepTest.java
@@ -38,6 +38,16 @@
         assertEquals(IdleKeep.LEAST, after(100, 25).most(2000));
     }
 
+    /** A host with a full queue turns away on every connection alike: giving connections back would cost handshakes and help nobody. */
+    @Test
+    void aFullQueueIsNoFullTable() {
+        IdleKeep keep = after(100, 40);
+        for (int i = 0; i < 100; i++) {
+            keep.again(2000, i < 40);
+        }
+        assertEquals(MOST, keep.most(2000));
+    }
+
     @Test
     void itComesBackOnceNobodyIsTurnedAway() {
         IdleKeep keep = after(100, 50);
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -94,14 +94,23 @@
     void aStartWaitsToBeTold() throws Exception {
         PrintStream out = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
         TimedLoop timed = TimedLoop.start();
-        try (Server discovery = discovery(); Server one = host("one")) {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two")) {
             Config config = Config.read(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS));
-            Gateway gateway = Main.prepare(config, timed, false, out).gateway();
-            CompletableFuture<Void> told = CompletableFuture.runAsync(() -> Main.awaitList(gateway, out));
+            Main.Started started = Main.prepare(config, timed, false, out);
+            CompletableFuture<Void> told = CompletableFuture.runAsync(() -> Main.awaitList(started.gateway(), out));
             Message asked = await(discovery.received);
             assertThrows(TimeoutException.class, () -> told.get(100, TimeUnit.MILLISECONDS));
-            tell(asked.socket(), list(7, false, entry("s1", one.address(), "a", "terminating")));
+            tell(asked.socket(), list(7, false, entry("s1", one.address(), "a", "terminating"), up("s2", two)));
             told.get(2, TimeUnit.SECONDS);
+            Main.listen(started, config, out);
+            for (int i = 0; i < 20; i++) {  // what is alive is served by at once, and the other gets nothing
+                try (Socket client = new Socket()) {
+                    client.connect(started.clients().address());
+                    write(client, read(20_000));
+                    assertEquals("two", Loopback.read(client).text());
+                }
+            }
+            assertTrue(one.received.isEmpty());
         } finally {
             timed.loop().parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
         }
