--- a/src/main/java/mastdrift/cli/FleetCommand.java
+++ b/src/main/java/mastdrift/cli/FleetCommand.java
@@ -10,11 +10,13 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import mastdrift.tally.Count;
 import mastdrift.tally.Fleet;
 import mastdrift.tally.Second;
+import mastdrift.tally.Step;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVPrinter;
 import picocli.CommandLine;
@@ -30,7 +32,7 @@
     private static final int REFUSED = 1;
 
     /** What a row is of. */
-    enum By { SECOND, GATEWAY, HOST }
+    enum By { SECOND, GATEWAY, HOST, MARGIN }
 
     /** How it is written. */
     enum Form { TEXT, CSV }
@@ -41,9 +43,12 @@
     @Parameters(arity = "1..1024", paramLabel = "LOG", description = "logs, one a gateway; its name is the file's")
     private List<Path> logs;
 
-    @Option(names = "--by", paramLabel = "WHAT", defaultValue = "SECOND", description = "second, gateway or host (${DEFAULT-VALUE})")
+    @Option(names = "--by", paramLabel = "WHAT", defaultValue = "SECOND", description = "second, gateway, host or margin (${DEFAULT-VALUE})")
     private By by;
 
+    @Option(names = "--request", paramLabel = "ID", description = "the steps of one request over all gateways, by its trace id")
+    private String request;
+
     @Option(names = "--form", paramLabel = "FORM", defaultValue = "TEXT", description = "text or csv (${DEFAULT-VALUE})")
     private Form form;
 
@@ -52,6 +57,9 @@
         PrintWriter out = spec.commandLine().getOut();
         PrintWriter err = spec.commandLine().getErr();
         Fleet fleet = new Fleet();
+        if (request != null) {
+            fleet.follow(request);
+        }
         for (Path log : logs) {
             // What a killed gateway wrote last may end within a character.
             try (BufferedReader lines = Files.newBufferedReader(log, StandardCharsets.ISO_8859_1)) {
@@ -59,6 +67,7 @@
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                     fleet.read(log.getFileName().toString().replaceFirst("\\.log$", ""), ++number, line);
                 }
+                fleet.end();
             } catch (IOException e) {
                 err.println("can't read " + log + ": " + e);
                 return REFUSED;
@@ -68,10 +77,16 @@
         if (fleet.faulty() > fleet.faults().size()) {
             err.println("and " + (fleet.faulty() - fleet.faults().size()) + " lines more that can't be read");
         }
-        List<List<String>> rows = switch (by) {
+        if (request != null && fleet.seen().isEmpty()) {
+            err.println("expected steps of request " + request + ", found none in " + logs.size() + " logs: written with --tally, and for a part"
+                    + " of the requests where many come");
+            return REFUSED;
+        }
+        List<List<String>> rows = request != null ? ofRequest(fleet) : switch (by) {
             case SECOND -> bySecond(fleet);
             case GATEWAY -> byGateway(fleet);
             case HOST -> byHost(fleet);
+            case MARGIN -> fleet.margins().rows();
         };
         if (form == Form.CSV) {
             try (CSVPrinter csv = new CSVPrinter(out, CSVFormat.DEFAULT.builder().setRecordSeparator('\n').get())) {
@@ -98,7 +113,7 @@
 
     private static List<String> head(List<Count> counts, String... ahead) {
         List<String> row = new ArrayList<>(Arrays.asList(ahead));
-        counts.forEach(count -> row.add(count.name().toLowerCase(java.util.Locale.ROOT)));
+        counts.forEach(count -> row.add(count.name().toLowerCase(Locale.ROOT)));
         return row;
     }
 
@@ -121,6 +136,17 @@
         return rows;
     }
 
+    private static List<List<String>> ofRequest(Fleet fleet) {
+        List<List<String>> rows = new ArrayList<>(List.of(List.of("ms", "gateway", "step", "attempt", "host", "what", "span_ms")));
+        long first = fleet.seen().get(0).step().at();
+        for (Fleet.Seen seen : fleet.seen()) {
+            Step step = seen.step();
+            rows.add(List.of(String.format("%.1f", (step.at() - first) / 1e3), seen.gateway(), step.kind().name().toLowerCase(Locale.ROOT),
+                    step.attempt() < 0 ? "" : Integer.toString(step.attempt()), step.host(), step.word(), String.format("%.1f", step.span() / 1e3)));
+        }
+        return rows;
+    }
+
     private static List<List<String>> byHost(Fleet fleet) {
         List<List<String>> rows = new ArrayList<>(List.of(List.of("host", "sends", "lost", "lost_part")));
         fleet.all().hosts().entrySet().stream()
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -34,6 +34,7 @@
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final ServiceCount count = new ServiceCount();
     private final Queue<Runnable> events = new ArrayDeque<>();
+    private Witness witness;  // null where nobody asks
     private boolean inEvent;
     private boolean deferred;
     private long saidAt = -SAID_EVERY;
@@ -65,6 +66,11 @@
         return now - turns.own(now);
     }
 
+    /** Every request from now on is told to it. */
+    public void witness(Witness by) {
+        witness = by;
+    }
+
     /** Final answers so far. */
     public ServiceCount count() {
         return count;
@@ -94,18 +100,18 @@
     /** Takes a request for a pool, and with it the call, which it releases; null where it was answered at once. */
     public Exchange take(Pool pool, Client client, Call call, Ask ask) {
         long kept = ask.left() - MARGIN;
+        if (witness != null) {
+            witness.taken(call, ask);
+        }
         if (open >= Math.min(openMost, pool.settings().limits().maxOpen())) {
-            call.release();
-            count.refused(ask.className(), Why.GATEWAY);
-            client.refused(pool.settings().limits().maxRetryAfter());
+            turnedAway(pool, client, call, ask);
             return null;
         }
         if (kept <= 0) {
-            call.release();
             if (turns.own(now()) > MARGIN) {  // its time may be up: it waited here, and a new try does no harm
-                count.refused(ask.className(), Why.GATEWAY);
-                client.refused(pool.settings().limits().maxRetryAfter());
+                turnedAway(pool, client, call, ask);
             } else {
+                over(call, Witness.End.LATE, null);
                 count.failed(ask.className());
                 client.failed(true);
             }
@@ -126,6 +132,19 @@
         return exchange.ended ? null : exchange;
     }
 
+    private void turnedAway(Pool pool, Client client, Call call, Ask ask) {
+        over(call, Witness.End.REFUSED, Why.GATEWAY);
+        count.refused(ask.className(), Why.GATEWAY);
+        client.refused(pool.settings().limits().maxRetryAfter());
+    }
+
+    private void over(Call call, Witness.End end, Why why) {
+        if (witness != null) {
+            witness.ended(call, end, why);
+        }
+        call.release();
+    }
+
     private void sayLate() {
         if (turns.standing() >= LATE_SAID && now() - saidAt >= SAID_EVERY) {
             saidAt = now();
@@ -175,13 +194,13 @@
     // ---- ends
 
     void served(Exchange exchange, Answer answer) {
-        finish(exchange);
+        finish(exchange, Witness.End.SERVED, null);
         count.served(exchange.className);
         exchange.client.served(answer);
     }
 
     void refuse(Exchange exchange, long retryAfter, Why why) {
-        finish(exchange);
+        finish(exchange, Witness.End.REFUSED, why);
         count.refused(exchange.className, why);
         if (exchange.pass != null) {
             exchange.pass.refused(now(), why);
@@ -190,14 +209,14 @@
     }
 
     void fail(Exchange exchange, boolean late) {
-        finish(exchange);
+        finish(exchange, late ? Witness.End.LATE : Witness.End.FAILED, null);
         count.failed(exchange.className);
         exchange.client.failed(late);
     }
 
     void departed(Exchange exchange) {
         if (!exchange.ended) {
-            finish(exchange);
+            finish(exchange, Witness.End.LEFT, null);
             departedFrom(exchange);
         }
     }
@@ -217,10 +236,10 @@
         });
     }
 
-    private void finish(Exchange exchange) {
+    private void finish(Exchange exchange, Witness.End end, Why why) {
         exchange.ended = true;
         exchange.backstop.cancel();
-        exchange.call.release();
+        over(exchange.call, end, why);
         open--;
         forget(exchange);
     }
--- /dev/null
+++ b/src/main/java/mastdrift/engine/Witness.java
@@ -0,0 +1,16 @@
+package mastdrift.engine;
+
+import mastdrift.Balancer.Why;
+
+/** Hears of each request that a ledger takes, and of its final answer, on the loop's thread. It sees and changes nothing. */
+public interface Witness {
+
+    /** How a request ended; LEFT where its client went first and nothing more was owed. */
+    enum End { SERVED, REFUSED, FAILED, LATE, LEFT }
+
+    /** A request was taken; the call is whole until its end has been told. */
+    void taken(Call call, Ask ask);
+
+    /** Its end, exactly once; {@code why} is of a refusal, else null. */
+    void ended(Call call, End end, Why why);
+}
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -44,7 +44,9 @@
         Consumer<HostList> lists = this::learn;
         Consumer<String> failures = this::listFailed;
         if (tally) {
-            Tallying tallying = new Tallying(hosts, timed, config.settings().rules().warmWithin(), ledger, this::log);
+            Tracing tracing = new Tracing(hosts, timed, config.settings(), this::log);
+            ledger.witness(tracing);
+            Tallying tallying = new Tallying(tracing, timed, config.settings().rules().warmWithin(), ledger, tracing, this::log);
             hosts = tallying;
             source = tallying.source(source);
             lists = tallying.lists(lists);
--- a/src/main/java/mastdrift/net/Tallying.java
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -31,17 +31,20 @@
     private final Timers timers;
     private final long warmWithin;
     private final Ledger ledger;
+    private final Tracing tracing;
     private final Consumer<String> log;
     private final Set<String> cold = new HashSet<>();
     private final long[] answers = new long[2 + Why.values().length];
     private Second second;
 
-    Tallying(Transport transport, TimedLoop timed, long warmWithin, Ledger ledger, Consumer<String> log) {
+    Tallying(Transport transport, TimedLoop timed, long warmWithin, Ledger ledger, Tracing tracing,
+            Consumer<String> log) {
         this.transport = transport;
         clock = timed.clock();
         timers = timed.timers();
         this.warmWithin = warmWithin;
         this.ledger = ledger;
+        this.tracing = tracing;
         this.log = log;
         begin();
     }
@@ -54,6 +57,7 @@
 
     private void tell() {
         answered();
+        second.add(Count.UNFOLLOWED, tracing.unfollowed());
         String line = second.line();
         if (line.indexOf('=') != line.lastIndexOf('=')) {
             log.accept(line);
--- a/src/main/java/mastdrift/tally/Fleet.java
+++ b/src/main/java/mastdrift/tally/Fleet.java
@@ -1,6 +1,7 @@
 package mastdrift.tally;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -12,6 +13,8 @@
 public final class Fleet {
 
     private static final int FAULTS_MOST = 20;
+    // Cold hosts are looked at in spans of so many microseconds, those of the platform's rule on them.
+    private static final long COLD_SPAN = 2_000_000;
     // A log's own clock ahead of its lines, in seconds, where there is one.
     private static final Pattern STAMP = Pattern.compile("^\\s*(\\d+(?:\\.\\d+)?)\\s");
     private static final Pattern LIST = Pattern.compile("\\blist (\\d+): (\\d+) (hosts|changes)");
@@ -57,17 +60,30 @@
     private final Map<String, Second> gateways = new TreeMap<>();
     private final Map<String, Said> said = new TreeMap<>();
     private final List<String> faults = new ArrayList<>();
+    private final List<Seen> seen = new ArrayList<>();
+    private final Margins margins = new Margins(COLD_SPAN);
+    private String followed = "";
     private int faulty;
 
+    /** A step and the gateway whose log it is of. */
+    public record Seen(String gateway, Step step) { }
+
+    /** The steps of the request with this trace id are kept; before lines are read. */
+    public void follow(String id) {
+        followed = id;
+    }
+
     /** One line of a gateway's log. One that can't be read is passed over and told of by {@link #faults}. */
     public void read(String gateway, int number, String line) {
         Said of = said.computeIfAbsent(gateway, name -> new Said());
-        if (line.contains(Second.MARK)) {
+        boolean step = line.contains(Step.MARK);
+        if (step || line.contains(Second.MARK)) {
             try {
-                Second second = Second.parse(line);
-                seconds.computeIfAbsent(second.at(), Second::new).add(second);
-                counting.merge(second.at(), 1, Integer::sum);
-                gateways.computeIfAbsent(gateway, name -> new Second(second.at())).add(second);
+                if (step) {
+                    read(gateway, Step.parse(line));
+                } else {
+                    read(gateway, Second.parse(line));
+                }
             } catch (IllegalArgumentException e) {
                 if (faulty++ < FAULTS_MOST) {
                     faults.add(gateway + ":" + number + ": " + e.getMessage());
@@ -81,6 +97,7 @@
         Matcher late = LATE.matcher(line);
         if (line.contains("listening on ")) {
             of.starts++;
+            margins.end();
             of.unheardSince = Double.NaN;
         } else if (line.contains("discovery failed: ")) {
             of.callsFailed++;
@@ -96,6 +113,34 @@
         }
     }
 
+    private void read(String gateway, Second second) {
+        seconds.computeIfAbsent(second.at(), Second::new).add(second);
+        counting.merge(second.at(), 1, Integer::sum);
+        gateways.computeIfAbsent(gateway, name -> new Second(second.at())).add(second);
+    }
+
+    private void read(String gateway, Step step) {
+        margins.read(step);
+        if (step.id().equals(followed)) {
+            seen.add(new Seen(gateway, step));
+        }
+    }
+
+    /** The log that was being read has ended. */
+    public void end() {
+        margins.end();
+    }
+
+    /** How near the fleet came to its rules, by what it logged of single requests. */
+    public Margins margins() {
+        return margins;
+    }
+
+    /** The steps of the request that is followed over all gateways, by time. */
+    public List<Seen> seen() {
+        return seen.stream().sorted(Comparator.comparingLong(of -> of.step().at())).toList();
+    }
+
     /** Sums over the fleet by second of Unix time. */
     public Map<Long, Second> seconds() {
         return seconds;
--- a/src/test/java/mastdrift/net/TallyingTest.java
+++ b/src/test/java/mastdrift/net/TallyingTest.java
@@ -13,12 +13,16 @@
 
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import mastdrift.net.Loopback.Node;
 import mastdrift.net.Loopback.Server;
 import mastdrift.tally.Count;
 import mastdrift.tally.Fleet;
 import mastdrift.tally.Second;
+import mastdrift.tally.Step;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -60,4 +64,73 @@
             assertEquals(0, fleet.faulty());
         }
     }
+
+    private static Fleet parsed(String log, String followed) {
+        Fleet fleet = new Fleet();
+        fleet.follow(followed);
+        String[] lines = log.split("\n");
+        for (int line = 0; line < lines.length; line++) {
+            fleet.read("n0", line + 1, lines[line]);
+        }
+        return fleet;
+    }
+
+    private static Fleet logged(Node node, String followed, String word) throws InterruptedException {
+        Fleet fleet = parsed(node.log.toString(StandardCharsets.UTF_8), followed);
+        for (int i = 0; fleet.seen().isEmpty() || !fleet.seen().get(fleet.seen().size() - 1).step().word().startsWith(word); i++) {
+            assertTrue(i < Loopback.WAIT_SECONDS * 20, node.log.toString(StandardCharsets.UTF_8));
+            Thread.sleep(50);
+            fleet = parsed(node.log.toString(StandardCharsets.UTF_8), followed);
+        }
+        return fleet;
+    }
+
+    private static String steps(Fleet fleet) {
+        return fleet.seen().stream().map(seen -> seen.step()).map(step -> step.kind() + " " + step.host() + " " + step.word())
+                .collect(Collectors.joining(", "));
+    }
+
+    private static String trace(String request) {
+        return request.replaceFirst("(?s).*X-Trace-Id: (\\S+).*", "$1");
+    }
+
+    /** Turned away by the one, served by the other; a client that leaves; a host that drains. */
+    @Test
+    void oneRequestIsFollowedThroughItsAttempts() throws Exception {
+        try (Server discovery = discovery();
+                Server full = new Server(message -> write(message.socket(), answer("503 Service Unavailable\r\nX-Never-Ran: 1", "")));
+                Node node = new Node(environment(folder, discovery, list(1, true, entry("s1", full.address(), "a", "in_service")), SETTINGS), true)) {
+            String request = read(20_000);
+            assertEquals(503, node.ask(request).status());
+            Fleet fleet = logged(node, trace(request), "REFUSED HOSTS");
+            assertEquals("TAKEN  read:SAFE, SENT s1 warm, OPENED s1 warm, ENDED s1 SHED, ANSWERED  REFUSED HOSTS", steps(fleet));
+            assertTrue(fleet.margins().rows().contains(List.of("requests followed", "1", "")));
+            assertTrue(fleet.margins().rows().contains(List.of("answered REFUSED HOSTS", "1", "")));
+            assertEquals(0, fleet.faulty());
+        }
+    }
+
+    /** So many a second, each from its first step to its last; the rest is counted. */
+    @Test
+    void requestsThatAreFollowedAreBounded() throws Exception {
+        try (Server discovery = discovery(); Server one = Loopback.host("one");
+                Node node = new Node(environment(folder, discovery, list(1, true, entry("s1", one.address(), "a", "in_service")), SETTINGS), true)) {
+            int asked = 3 * Tracing.NEW_MOST;
+            for (int i = 0; i < asked; i++) {
+                node.ask(read(20_000));
+            }
+            Fleet fleet = new Fleet();
+            for (int i = 0; fleet.all().of(Count.SERVED) < asked; i++) {
+                assertTrue(i < Loopback.WAIT_SECONDS * 20, node.log.toString(StandardCharsets.UTF_8));
+                Thread.sleep(50);
+                fleet = parsed(node.log.toString(StandardCharsets.UTF_8), "");
+            }
+            String log = node.log.toString(StandardCharsets.UTF_8);
+            Map<Long, Long> taken = log.lines().filter(line -> line.contains(Step.MARK)).map(Step::parse).filter(step -> step.kind() == Step.Kind.TAKEN)
+                    .collect(Collectors.groupingBy(step -> step.at() / 1_000_000, Collectors.counting()));
+            assertTrue(taken.values().stream().allMatch(count -> count <= Tracing.NEW_MOST), "followed by second: " + taken);
+            assertEquals(asked, taken.values().stream().mapToLong(Long::longValue).sum() + fleet.all().of(Count.UNFOLLOWED));
+            assertEquals(taken.values().stream().mapToLong(Long::longValue).sum(), log.lines().filter(line -> line.contains(" kind=answered ")).count());
+        }
+    }
 }
