What waited for a connection is looked at again before its first byte leaves

Cause: Balance.mayRepeat looks at the window at the choice, and HostPool.Connection.write looked again at the drain alone. A dial takes up to its time-out, in which the window may end, or the list may tell another start of the host (cold, with a budget that this request isn't in) or another address.

Change: the module says for how long what it sends may leave (Actions.send, leaveWithin), by the window of the first attempt that may have run; the transport answers UNUSED, which proves that nothing ran, for what is later, and for another start or address than was chosen. RADIUS packets leave at once.

Test: HostPoolTest.whatWaitedForAConnectionIsLookedAtAgainBeforeItLeaves (late, born, moved) fails in all three without the check; RulesTest.theDedupWindowEndsKeyedRepeats says what the module asks for.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -923,10 +923,20 @@
         server.recent++;
         recentSum++;
         outSum++;
-        actions.send(req.id, server.host.address(), req.ends - now);
+        actions.send(req.id, server.host.address(), req.ends - now, repeatable(now, req));
         return true;
     }
 
+    /** For how long the newest attempt may leave: repeats are dropped in their window, whenever they were decided on. */
+    private static long repeatable(long now, Held req) {
+        long until = req.ends;
+        for (Attempt before : req.attempts.subList(0, req.attempts.size() - 1)) {
+            boolean mayHaveRun = req.type.repeat() == Repeat.KEYED && !before.neverRan;
+            until = mayHaveRun ? Math.min(until, before.sentAt + req.type.dedupWindow()) : until;
+        }
+        return until - now;
+    }
+
     /** Idle connections can be lost unseen (a firewall's or a host's own shorter limit): what is sent on one
         is reset or never answered. Connections idle for longer than such losses tell are closed before the
         send. Costs a handshake where the losses had another cause; forgotten after a while. */
--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -156,8 +156,9 @@
 
     /** What the module asks of its gateway. */
     interface Actions {
-        /** Sends the request to a host; attempts are numbered from 0 in the order of these calls. */
-        void send(long id, String address, long timeout);
+        /** Sends the request to a host; attempts are numbered from 0 in the order of these calls. What has not left after
+            {@code leaveWithin}, since it waited for a connection, say, does not leave any more. */
+        void send(long id, String address, long timeout, long leaveWithin);
 
         /** Stops waiting for one attempt. */
         void cancel(long id, int attempt);
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -208,14 +208,14 @@
     // ---- actions
 
     @Override
-    public void send(long id, String uid, long timeout) {
+    public void send(long id, String uid, long timeout, long leaveWithin) {
         Exchange exchange = ledger.find(id);
         Sending ended = new Sending(exchange, uid);
         if (exchange.ended || ended.number >= settings.limits().maxAttempts()) {
             exchange.attempts.add(NOT_SENT);
             ended.ended(Outcome.UNUSED, null, LoadReport.NONE);
         } else {
-            exchange.attempts.add(transport.send(uid, exchange.call, timeout, ended));
+            exchange.attempts.add(transport.send(uid, exchange.call, timeout, leaveWithin, ended));
         }
         exchange.out++;  // only now: of what could not be sent there is no outcome
     }
--- a/src/main/java/mastdrift/engine/Transport.java
+++ b/src/main/java/mastdrift/engine/Transport.java
@@ -43,8 +43,8 @@
     }
 
     /** Sends the call to a host and waits for {@code timeout} microseconds. A host that it doesn't know, or that may have
-        nothing new, and a timeout of 0 or less give UNUSED. */
-    Attempt send(String uid, Call call, long timeout, Ended ended);
+        nothing new, and a timeout of 0 or less give UNUSED; so does what has not left after {@code leaveWithin} microseconds. */
+    Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended);
 
     /** Checks a host. */
     void probe(String uid, Probed probed);
--- a/src/main/java/mastdrift/lab/model/Baseline.java
+++ b/src/main/java/mastdrift/lab/model/Baseline.java
@@ -95,7 +95,7 @@
         best.out++;
         taken.sent.add(best);
         taken.sentAt.add(now);
-        actions.send(taken.request.id(), best.host.address(), taken.ends - now);
+        actions.send(taken.request.id(), best.host.address(), taken.ends - now, taken.ends - now);
     }
 
     private boolean mayGo(long now, Open taken, Server to) {
--- a/src/main/java/mastdrift/lab/model/ModelTransport.java
+++ b/src/main/java/mastdrift/lab/model/ModelTransport.java
@@ -97,14 +97,14 @@
     }
 
     @Override
-    public Attempt send(String uid, Call call, long timeout, Ended ended) {
+    public Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended) {
         Integer i = indices.get(uid);
         if (i == null || time.now() >= sendUntil[i] || timeout <= 0) {
             ended.ended(Outcome.UNUSED, null, LoadReport.NONE);
             return () -> { };
         }
         Flight flight = new Flight(nodes[i], (Try) call, ended);
-        flight.begin(timeout);
+        flight.begin(timeout, leaveWithin);
         return flight;
     }
 
@@ -115,7 +115,7 @@
             probed.probed(Outcome.UNUSED, LoadReport.NONE);
             return;
         }
-        new Flight(nodes[i], null, (outcome, answer, report) -> probed.probed(outcome, report)).begin(PROBE_TIMEOUT);
+        new Flight(nodes[i], null, (outcome, answer, report) -> probed.probed(outcome, report)).begin(PROBE_TIMEOUT, PROBE_TIMEOUT);
     }
 
     @Override
@@ -147,7 +147,8 @@
             this.ended = ended;
         }
 
-        private void begin(long timeout) {
+        private void begin(long timeout, long leaveWithin) {
+            long leaveBy = time.now() + leaveWithin;
             timer = timers.after(timeout, () -> end(Outcome.EXPIRED));
             int i = node.index();
             if (epoch[i] != node.epoch() || time.now() - usedAt[i] > links.idle() * 4 / 5) {
@@ -170,7 +171,7 @@
                 timers.after(way.delay(node.zone(), zone), () -> {
                     if (!accepted) {
                         end(Outcome.DIAL_FAILED);
-                    } else if (time.now() >= sendUntil[node.index()]) {
+                    } else if (time.now() >= Math.min(leaveBy, sendUntil[node.index()])) {
                         end(Outcome.UNUSED);
                     } else if (!over) {
                         write(true);
--- a/src/main/java/mastdrift/measure/FleetMeasurement.java
+++ b/src/main/java/mastdrift/measure/FleetMeasurement.java
@@ -57,7 +57,7 @@
 
     private final class Asked implements Balancer.Actions {
         @Override
-        public void send(long id, String address, long timeout) {
+        public void send(long id, String address, long timeout, long leaveWithin) {
             out.add(new Sent(id, address, now));
         }
 
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -167,9 +167,10 @@
         closeIdle(peer);
     }
 
-    /** Sends the message, which it releases, and waits for as long as the timeout. */
-    Attempt send(String uid, FullHttpRequest message, long timeout, Ended ended) {
-        Attempt attempt = new Attempt(message, timeout, ended);
+    /** Sends the message, which it releases, and waits for as long as the timeout; what has not left after {@code leaveWithin} is
+        UNUSED. */
+    Attempt send(String uid, FullHttpRequest message, long timeout, long leaveWithin, Ended ended) {
+        Attempt attempt = new Attempt(message, timeout, leaveWithin, ended);
         Peer peer = peers.get(uid);
         if (peer == null || timeout <= 0) {
             attempt.end(Outcome.UNUSED, null);
@@ -286,6 +287,7 @@
 
         private FullHttpRequest message;
         private final long ends;
+        private final long leaveBy;
         private final Ended ended;
         private Timers.Timer timer;
         private Timers.Timer stall;
@@ -295,10 +297,11 @@
         private boolean written;
         private boolean over;
 
-        private Attempt(FullHttpRequest message, long timeout, Ended ended) {
+        private Attempt(FullHttpRequest message, long timeout, long leaveWithin, Ended ended) {
             this.message = message;
             this.ended = ended;
             ends = clock.getAsLong() + timeout;
+            leaveBy = clock.getAsLong() + leaveWithin;
         }
 
         /** Stops waiting: the connection closes, by which the host hears of it. */
@@ -399,7 +402,9 @@
         private void write(Attempt next) {
             long now = clock.getAsLong();
             next.channel = channel;
-            if (now >= peer.sendUntil) {  // it waited for its connection while the host was drained
+            // It waited for its connection meanwhile: the host was drained, the time for a repeat is over, or what listens there
+            // is another start of the host, or another host, which nobody decided on.
+            if (now >= peer.sendUntil || now >= next.leaveBy || born != peer.born || !at.equals(peer.at)) {
                 next.end(Outcome.UNUSED, null);
                 channel.close();
                 return;
--- a/src/main/java/mastdrift/net/HttpTransport.java
+++ b/src/main/java/mastdrift/net/HttpTransport.java
@@ -37,8 +37,8 @@
     }
 
     @Override
-    public Attempt send(String uid, Call call, long timeout, Ended ended) {
-        return hosts.send(uid, onward(((HttpCall) call).message()), timeout, new HostPool.Ended() {
+    public Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended) {
+        return hosts.send(uid, onward(((HttpCall) call).message()), timeout, leaveWithin, new HostPool.Ended() {
             @Override
             public void ended(Outcome outcome, FullHttpResponse answer) {
                 boolean given = answer != null && reports == Reports.INLINE;
@@ -77,7 +77,7 @@
     public void probe(String uid, Probed probed) {
         boolean given = reports != Reports.OFF;
         FullHttpRequest message = Unchecked.request(HttpMethod.GET, given ? "/status/load" : "/health", Unpooled.EMPTY_BUFFER);
-        hosts.send(uid, message, PROBE_TIMEOUT, new HostPool.Ended() {
+        hosts.send(uid, message, PROBE_TIMEOUT, PROBE_TIMEOUT, new HostPool.Ended() {
             @Override
             public void ended(Outcome outcome, FullHttpResponse answer) {
                 probed.probed(outcome, answer == null || !given ? LoadReport.NONE
--- a/src/main/java/mastdrift/net/Tallying.java
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -117,13 +117,13 @@
     }
 
     @Override
-    public Attempt send(String uid, Call call, long timeout, Ended ended) {
+    public Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended) {
         second.add(Count.SENDS);
         second.sent(uid);
         if (cold.contains(uid)) {
             second.add(Count.COLD);
         }
-        return transport.send(uid, call, timeout, new Ended() {
+        return transport.send(uid, call, timeout, leaveWithin, new Ended() {
             @Override
             public void ended(Outcome outcome, Answer answer, LoadReport report) {
                 second.add(Count.valueOf(outcome.name()));
--- a/src/main/java/mastdrift/net/Tracing.java
+++ b/src/main/java/mastdrift/net/Tracing.java
@@ -112,15 +112,15 @@
     }
 
     @Override
-    public Attempt send(String uid, Call call, long timeout, Ended ended) {
+    public Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended) {
         String id = id(call);
         Life life = lives.get(id);
         if (life == null) {
-            return transport.send(uid, call, timeout, ended);
+            return transport.send(uid, call, timeout, leaveWithin, ended);
         }
         int number = life.attempts++;
         tellState(id, Step.Kind.SENT, number, uid);
-        return transport.send(uid, call, timeout, new Ended() {
+        return transport.send(uid, call, timeout, leaveWithin, new Ended() {
             @Override
             public void ended(Outcome outcome, Answer answer, LoadReport report) {
                 tell(id, Step.Kind.ENDED, number, uid, outcome.name(), 0);
--- a/src/main/java/mastdrift/radius/edge/RadiusTransport.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusTransport.java
@@ -159,7 +159,7 @@
     }
 
     @Override
-    public Attempt send(String uid, Call call, long timeout, Ended ended) {
+    public Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended) {  // leaves at once
         RadiusCall given = (RadiusCall) call;
         Packet request = given.request();
         if (given.onlyAt() != null && !given.onlyAt().equals(uid)) {
--- a/src/main/java/mastdrift/wire/Adapter.java
+++ b/src/main/java/mastdrift/wire/Adapter.java
@@ -291,7 +291,7 @@
         }
 
         @Override
-        public void send(long id, String address, long timeout) {
+        public void send(long id, String address, long timeout, long leaveWithin) {
             line("place").append(id).append(' ').append(address).append(' ').append(timeout).append('\n');
         }
 
--- a/src/test/java/mastdrift/Gateway.java
+++ b/src/test/java/mastdrift/Gateway.java
@@ -39,6 +39,7 @@
 
     final Balancer module = new Balance();
     final List<Sent> sent = new ArrayList<>();
+    final List<Long> leaveBy = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
     final List<String> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
@@ -169,8 +170,9 @@
     // ---- what the module asks for
 
     @Override
-    public void send(long id, String address, long timeout) {
+    public void send(long id, String address, long timeout, long leaveWithin) {
         sent.add(new Sent(id, attempts.merge(id, 1, Integer::sum) - 1, address, timeout, now));
+        leaveBy.add(now + leaveWithin);
     }
 
     @Override
--- a/src/test/java/mastdrift/RulesTest.java
+++ b/src/test/java/mastdrift/RulesTest.java
@@ -71,8 +71,12 @@
             gateway.start(16);
             long id = gateway.request(3L);
             gateway.advance(300_000 + late);
+            assertEquals(gateway.now + 1_000_000 - 300_000 - late, gateway.leaveBy.get(0), "the first try has all of its time");
             gateway.end(gateway.last(), Outcome.ERROR);
             assertEquals(late < 0 ? 2 : 1, gateway.sends(id).size(), "at " + late);
+            if (late < 0) {
+                assertEquals(gateway.sent.get(0).at() + 300_000, gateway.leaveBy.get(1), "the repeat leaves within the window, or never");
+            }
         }
     }
 
--- a/src/test/java/mastdrift/net/GatewayTest.java
+++ b/src/test/java/mastdrift/net/GatewayTest.java
@@ -108,7 +108,7 @@
             } else if (where.equals("memory")) {
                 throw new OutOfMemoryError("on purpose");
             }
-            asked.send(id + 1, "unheard", 1);
+            asked.send(id + 1, "unheard", 1, 1);
         });
         assertEquals("failed", Loopback.await(answers));
         assertEquals(List.of("start", "hosts", "request", "departed"), awaitEvents(4));
@@ -126,10 +126,10 @@
     @Test
     void aSecondAnswerIsPassedOverAndNothingIsSentAfterTheFirst() throws Exception {
         take(60_000_000, (asked, id) -> {
-            asked.send(id, "unknown", 1_000_000);
+            asked.send(id, "unknown", 1_000_000, 1_000_000);
             asked.refuse(id, 0, Balancer.Why.HOSTS);
             asked.fail(id);
-            asked.send(id, "unknown", 1_000_000);
+            asked.send(id, "unknown", 1_000_000, 1_000_000);
         });
         assertEquals("refused", Loopback.await(answers));
         awaitEvents(6);
@@ -140,8 +140,8 @@
     @Test
     void outcomesWaitForTheEndOfTheEventThatCausedThem() throws Exception {
         take(60_000_000, (asked, id) -> {
-            asked.send(id, "unknown", 1_000_000);
-            asked.send(id, "unknown", 1_000_000);
+            asked.send(id, "unknown", 1_000_000, 1_000_000);
+            asked.send(id, "unknown", 1_000_000, 1_000_000);
         });
         assertEquals(List.of("start", "hosts", "request", "end of request", "resolved", "resolved"), awaitEvents(6));
     }
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -38,6 +38,7 @@
     private static final long IDLE = 5_000_000;
     private static final long GRACE = 250_000;
     private static final long LONG = 60_000_000;
+    private static final long LEAVE = 40_000_000;
 
     private final EventLoop loop = TimedLoop.start().loop();
     private final AtomicLong clock = new AtomicLong(1_000_000);
@@ -78,7 +79,7 @@
 
     private HostPool.Attempt send(HostPool pool, String uid) {
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
-        return pool.send(uid, message, LONG, (outcome, answer) -> outcomes.add(outcome));
+        return pool.send(uid, message, LONG, LEAVE, (outcome, answer) -> outcomes.add(outcome));
     }
 
     private Outcome outcome(HostPool pool, String uid) throws Exception {
@@ -150,6 +151,27 @@
         assertTrue(one.received.isEmpty());
     }
 
+    /** Guards against a repeat that leaves after its window, or a request that meets another start of its host, cold and not asked for, or
+        another host: decided on before, and written after it had waited for its connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"late", "born", "moved"})
+    void whatWaitedForAConnectionIsLookedAtAgainBeforeItLeaves(String what) throws Exception {
+        HostPool pool = pool(10);
+        onLoop(() -> {
+            send(pool, "s1");
+            if (what.equals("late")) {
+                clock.addAndGet(LEAVE);
+            } else {
+                String entry = entry("s1", what.equals("moved") ? two.address() : one.address(), "a", "in_service");
+                update(pool, list(2, false, what.equals("born") ? entry.replaceFirst("\"boot_ms\":\\d+", "\"boot_ms\":1") : entry));
+            }
+            return null;
+        });
+        assertEquals(Outcome.UNUSED, await(outcomes));
+        assertTrue(one.received.isEmpty());
+        assertEquals(Outcome.DELIVERED, outcome(pool, "s1"));
+    }
+
     @Test
     void aHostThatIsGoneGetsNothing() throws Exception {
         HostPool pool = pool(10);
