A gateway told to end answers what is open before the platform kills it

Cause: ClientSide.stop: answerBy is the longest deadline plus 0.4 s after SIGTERM, here 12.4 s. PROTOCOL has SIGKILL come the longest deadline, 3 s at most, and 0.7 s after SIGTERM.

Change: a stop is given the longest that it may wait (the platform's 3 s in Main; serve's own, as asked for); requests that come while it ends have no more time than that, and what is open then has its final answer at once (Exchange.overdue).

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -927,12 +927,13 @@
         return true;
     }
 
-    /** For how long the newest attempt may leave: repeats are dropped in their window, whenever they were decided on. */
+    /** For how long the newest attempt may leave: repeats are dropped in their window alone. */
     private static long repeatable(long now, Held req) {
         long until = req.ends;
         for (Attempt before : req.attempts.subList(0, req.attempts.size() - 1)) {
             boolean mayHaveRun = req.type.repeat() == Repeat.KEYED && !before.neverRan;
-            until = mayHaveRun ? Math.min(until, before.sentAt + req.type.dedupWindow()) : until;
+            long over = before.sentAt + req.type.dedupWindow();
+            until = mayHaveRun ? Math.min(until, over) : until;
         }
         return until - now;
     }
--- a/src/main/java/mastdrift/cli/FleetCommand.java
+++ b/src/main/java/mastdrift/cli/FleetCommand.java
@@ -46,7 +46,7 @@
     @Option(names = "--by", paramLabel = "WHAT", defaultValue = "SECOND", description = "second, gateway, host or margin (${DEFAULT-VALUE})")
     private By by;
 
-    @Option(names = "--request", paramLabel = "ID", description = "the steps of one request over all gateways, by its trace id")
+    @Option(names = "--request", paramLabel = "ID", description = "the steps of one request over all gateways, by its trace id or a part of it")
     private String request;
 
     @Option(names = "--form", paramLabel = "FORM", defaultValue = "TEXT", description = "text or csv (${DEFAULT-VALUE})")
--- a/src/main/java/mastdrift/engine/Exchange.java
+++ b/src/main/java/mastdrift/engine/Exchange.java
@@ -27,6 +27,11 @@
         this.className = className;
     }
 
+    /** Its time is up, whatever is left of it: it fails now. */
+    public void overdue() {
+        pool.ledger().overdue(this);
+    }
+
     /** The client went away: nothing more is owed. */
     public void departed() {
         pool.ledger().departed(this);
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -222,7 +222,7 @@
     }
 
     /** The module owes an answer in time, and this keeps the promise where it doesn't. */
-    private void overdue(Exchange exchange) {
+    void overdue(Exchange exchange) {
         if (!exchange.ended) {
             fail(exchange, true);
             departedFrom(exchange);
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -37,6 +37,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -71,6 +72,8 @@
     // all is answered so long after the longest deadline, before the program may be killed.
     private static final long STOP_SERVING_MILLIS = 1500;
     private static final long STOP_ANSWERED = 400_000;
+    private static final long STOP_SAID = 50_000;
+    private static final int STOP_NAMED = 20;
     // Connections that have been in their phase for too long are looked for so often, and so many closed at a time: closing ten
     // thousand at once would hold up everybody else.
     private static final long SWEEP_MILLIS = 250;
@@ -150,11 +153,13 @@
         return bound;
     }
 
-    /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. */
-    public void stop(Runnable then) {
+    /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. That waits for the
+        longest deadline, but no more than {@code longest} microseconds: what is open by then has its answer at once, since a program
+        that is killed answers nobody. */
+    public void stop(long longest, Runnable then) {
         stopping = true;
         answerBy = ledger.now() + STOP_ANSWERED
-                + classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+                + Math.min(longest, classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0));
         loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             closing = true;
@@ -162,6 +167,23 @@
             stopped = then;
             checkStopped();
         }, STOP_SERVING_MILLIS, TimeUnit.MILLISECONDS);
+        long answered = answerBy - ledger.now();
+        loop.schedule(() -> connections.each(Phase.BUSY, Connection::end), answered, TimeUnit.MICROSECONDS);
+        // Whoever is still there then is worth a line: the program may be killed next.
+        loop.schedule(this::sayWaiting, answered + STOP_SAID, TimeUnit.MICROSECONDS);
+    }
+
+    private void sayWaiting() {
+        if (connections.size() > 0) {
+            StringJoiner phases = new StringJoiner(", ");
+            for (Phase phase : Phase.values()) {
+                if (connections.size(phase) > 0) {
+                    phases.add(connections.size(phase) + " " + phase);
+                }
+            }
+            log.accept("the stop waits for connections: " + phases + "; requests without an answer: "
+                    + open.stream().limit(STOP_NAMED).toList());
+        }
     }
 
     private void closeIdle() {
@@ -258,6 +280,13 @@
             }
         }
 
+        /** What is open is answered now. */
+        private void end() {
+            if (exchange != null) {
+                exchange.overdue();
+            }
+        }
+
         private void close() {
             connections.closed(entry);
             channel.close();
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -26,6 +26,8 @@
     // Of the descriptors: for the program's own files, discovery, and connections that come and go.
     private static final int RESERVED = 96;
     private static final String TALLY = "--tally";
+    // After SIGTERM the platform waits for the longest deadline, but 3 s at most, and 0.7 s more, before it kills (PROTOCOL, Figures).
+    private static final long STOP_LONGEST = 3_000_000;
     private static final int STOP_SECONDS = 4;
     // For so long a start waits for discovery, beside what it has to do anyway: a call that waits for its turn, and one more.
     private static final int TOLD_SECONDS = 5;
@@ -143,7 +145,7 @@
     /** The virtual machine would end with the signal's status: what was asked for has been done, so 0. */
     private static void stop(EventLoop loop, ClientSide clients) {
         CountDownLatch answered = new CountDownLatch(1);
-        loop.execute(() -> clients.stop(answered::countDown));
+        loop.execute(() -> clients.stop(STOP_LONGEST, answered::countDown));
         try {
             boolean all = answered.await(STOP_SECONDS, TimeUnit.SECONDS);
             System.out.println(all ? "stopped" : "stopped with requests unanswered");
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -428,7 +428,7 @@
         CountDownLatch answered = new CountDownLatch(1);
         loop.execute(() -> {
             radius.forEach(RadiusFront::close);  // chargers send again, to whoever is there
-            clients.stop(answered::countDown);
+            clients.stop(TimeUnit.SECONDS.toMicros(seconds), answered::countDown);
         });
         boolean all = answered.await(seconds, TimeUnit.SECONDS);
         close();
--- a/src/main/java/mastdrift/tally/Fleet.java
+++ b/src/main/java/mastdrift/tally/Fleet.java
@@ -68,7 +68,7 @@
     /** A step and the gateway whose log it is of. */
     public record Seen(String gateway, Step step) { }
 
-    /** The steps of the request with this trace id are kept; before lines are read. */
+    /** The steps of requests whose trace id has this in it are kept; before lines are read. */
     public void follow(String id) {
         followed = id;
     }
@@ -121,7 +121,7 @@
 
     private void read(String gateway, Step step) {
         margins.read(step);
-        if (step.id().equals(followed)) {
+        if (!followed.isEmpty() && step.id().contains(followed)) {
             seen.add(new Seen(gateway, step));
         }
     }
--- a/src/test/java/mastdrift/net/LifeTest.java
+++ b/src/test/java/mastdrift/net/LifeTest.java
@@ -191,7 +191,7 @@
             Message held = await(host.received);
             Socket coming = node.connect();
             node.loop.submit(() -> {
-                node.clients.stop(stopped::countDown);
+                node.clients.stop(60_000_000, stopped::countDown);
                 write(idle, post("once", 20_000, "x").replace("9b1f", "9b20"));
                 return null;
             }).sync();
@@ -206,6 +206,31 @@
         }
     }
 
+    /** Guards against requests that a kill finds unanswered, since their deadlines are longer than the platform waits: one that was
+        taken before, and one that came while the gateway was ending. */
+    @Test
+    void aStopAnswersWhatIsOpenBeforeItIsKilled() throws Exception {
+        CountDownLatch stopped = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server silent = new Server(message -> { });
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", silent)), SETTINGS))) {
+            Socket taken = node.connect();
+            write(taken, read(60_000));
+            await(silent.received);
+            Socket coming = node.connect();
+            long told = System.nanoTime();
+            node.loop.submit(() -> {
+                node.clients.stop(1_000_000, stopped::countDown);
+                write(coming, read(60_000).replace("9b1f", "9b20"));
+                return null;
+            }).sync();
+            assertTrue(Loopback.read(taken).status() >= 500);
+            assertTrue(Loopback.read(coming).status() >= 500);
+            assertTrue(stopped.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS));
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - told);
+            assertTrue(millis >= 1_000, "what hosts answer in time is waited for: " + millis + " ms");
+        }
+    }
+
     private Process start(Map<String, String> environment) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
                 Loopback.classPath(), "mastdrift.net.Main");
