--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -923,10 +923,21 @@
         server.recent++;
         recentSum++;
         outSum++;
-        actions.send(req.id, server.host.address(), req.ends - now);
+        actions.send(req.id, server.host.address(), req.ends - now, repeatable(now, req));
         return true;
     }
 
+    /** For how long the newest attempt may leave: repeats are dropped in their window alone. */
+    private static long repeatable(long now, Held req) {
+        long until = req.ends;
+        for (Attempt before : req.attempts.subList(0, req.attempts.size() - 1)) {
+            boolean mayHaveRun = req.type.repeat() == Repeat.KEYED && !before.neverRan;
+            long over = before.sentAt + req.type.dedupWindow();
+            until = mayHaveRun ? Math.min(until, over) : until;
+        }
+        return until - now;
+    }
+
     /** Idle connections can be lost unseen (a firewall's or a host's own shorter limit): what is sent on one
         is reset or never answered. Connections idle for longer than such losses tell are closed before the
         send. Costs a handshake where the losses had another cause; forgotten after a while. */
