--- a/src/main/java/mastdrift/net/Tracing.java
+++ b/src/main/java/mastdrift/net/Tracing.java
@@ -93,7 +93,11 @@
         }
         begun++;
         lives.put(id(call), new Life(now));
-        tell(id(call), Step.Kind.TAKEN, -1, "", classes.getOrDefault(ask.className(), ask.className()), ask.left());
+        tell(id(call), Step.Kind.TAKEN, -1, "", taken(ask), ask.left());
+    }
+
+    private String taken(Ask ask) {
+        return (ask.tenant() == null ? "" : ask.tenant() + ":") + classes.getOrDefault(ask.className(), ask.className());
     }
 
     @Override
--- a/src/main/java/mastdrift/tally/Step.java
+++ b/src/main/java/mastdrift/tally/Step.java
@@ -20,7 +20,7 @@
 
     /** What happened. */
     public enum Kind {
-        /** The gateway took it; the word is class:REPEAT, the span the time left. */
+        /** The gateway took it; the word is tenant:class:REPEAT, where there are tenants, the span the time left. */
         TAKEN,
         /** An attempt was handed to its host's connections; the word is the host's state, the span the time since its drain was told. */
         SENT,
