Shares grow no further than what a gateway serves; steps tell tenant and age of a cold host

Change: all shares of a gateway together hold no more than what is served from it (Balance.shareOut).

Steps name the tenant, and how long ago a cold host started; margins say what cold hosts got in their first 5 s.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -160,6 +160,7 @@
     private double probeBudget;
     private long refreshedAt;
     private int askFailures;
+    private double servedRate;
     private final double[] idleLost = new double[64];
     private final double[] idleSeen = new double[64];
     private long idleLimit = Long.MAX_VALUE;
@@ -470,6 +471,7 @@
         few += EWMA * (Math.max(SERVED_LEAST, Math.min(SERVED_FEW, arrived)) - few);
         traffic = traffic * Math.exp(-span * 1e6 / KEY_MEMORY) + arrived;
         arrived = 0;
+        shareOut(now, span);
         kinds.values().forEach(Pool::clear);
         if (times.length < order.length) {
             times = new double[order.length];
@@ -515,7 +517,6 @@
         if (now > idleUntil) {
             idleLimit = Long.MAX_VALUE;
         }
-        shareOut(now, span);
         sizeKinds();
         setThreshold();
         double fade = Math.min(1, HISTORY * servers.size() / Math.max(1, recentSum));
@@ -551,17 +552,23 @@
 
     /** A gateway that has several times its part of the traffic has that part of every tenant's: an even
         share there refuses those whose use of the whole is small. How much it has tells the tenant in the
-        middle, by what comes of it against its even share; who is greedy is beyond that one everywhere. */
+        middle, by what comes of it against its even share; who is greedy is beyond that one everywhere. In an
+        overload all come often, since they try again: shares hold no more than what is served here. */
     private void shareOut(long now, double span) {
         double filled = 1 - Math.exp(-Math.max(SERVED_SPAN, now - startedAt) / (double) SERVED_MOST);
         double[] parts = new double[tenants.size()];
+        double even = 0;
         int count = 0;
         for (Share share : tenants.values()) {
+            even += share.even;
             parts[count++] = share.came / (filled * SERVED_MOST / 1e6) / Math.max(share.even, 1e-9);
             share.came *= Math.exp(-span * 1e6 / SERVED_MOST);
         }
         Arrays.sort(parts);
-        double has = count == 0 ? 1 : Math.max(1, parts[(count - 1) / 2]);
+        double done = Arrays.stream(order).mapToInt(server -> server.delivered).sum() / span;
+        servedRate += Math.min(1, span * 1e6 / SERVED_MOST) * (done - servedRate);
+        double most = servedRate / Math.max(even, 1e-9);
+        double has = count == 0 ? 1 : Math.max(1, Math.min(most, parts[(count - 1) / 2]));
         tenants.values().forEach(share -> share.perSecond = has * share.even);
     }
 
--- a/src/main/java/mastdrift/net/Tracing.java
+++ b/src/main/java/mastdrift/net/Tracing.java
@@ -111,8 +111,14 @@
     private void tellState(String id, Step.Kind kind, int attempt, String uid) {
         long now = clock.now();
         Long left = leftAt.get(uid);
-        boolean cold = warmAt.getOrDefault(uid, 0L) > now;
-        tell(id, kind, attempt, uid, left != null ? Step.LEAVING : cold ? Step.COLD : Step.WARM, left == null ? 0 : now - left);
+        long warm = warmAt.getOrDefault(uid, 0L);
+        if (left != null) {
+            tell(id, kind, attempt, uid, Step.LEAVING, now - left);
+        } else if (warm > now) {
+            tell(id, kind, attempt, uid, Step.COLD, now - (warm - warmWithin));
+        } else {
+            tell(id, kind, attempt, uid, Step.WARM, 0);
+        }
     }
 
     @Override
--- a/src/main/java/mastdrift/tally/Margins.java
+++ b/src/main/java/mastdrift/tally/Margins.java
@@ -29,9 +29,13 @@
         }
     }
 
+    // Hosts bear least just after their start.
+    private static final long EARLY = 5_000_000;
+
     private final long span;
     private final Map<String, Open> open = new HashMap<>();
     private final Map<String, List<Long>> cold = new HashMap<>();
+    private final Map<String, Long> born = new HashMap<>();
     private final Map<String, List<Long>> warm = new HashMap<>();
     private final Map<String, Long> answers = new TreeMap<>();
     private final Map<String, Long> unsent = new TreeMap<>();
@@ -90,6 +94,9 @@
                 afterDrainOf = step.id() + " at " + step.host();
             }
         }
+        if (step.word().equals(Step.COLD)) {
+            born.merge(step.host(), step.at() - step.span(), Math::max);
+        }
         (step.word().equals(Step.COLD) ? cold : warm).computeIfAbsent(step.host(), host -> new ArrayList<>()).add(step.at());
     }
 
@@ -113,19 +120,37 @@
         open.clear();
     }
 
-    private long most(List<Long> times) {
+    /** The most in any span, and when the first such span ended. */
+    private long[] most(List<Long> times) {
         long[] sorted = times.stream().mapToLong(Long::longValue).sorted().toArray();
-        int most = 0;
+        long[] most = {0, 0};
         int from = 0;
         for (int to = 0; to < sorted.length; to++) {
             while (sorted[to] - sorted[from] > span) {
                 from++;
             }
-            most = Math.max(most, to - from + 1);
+            if (to - from + 1 > most[0]) {
+                most[0] = to - from + 1;
+                most[1] = sorted[to];
+            }
         }
         return most;
     }
 
+    private void addCold(List<List<String>> rows, String name, long within) {
+        String seen = "";
+        long figure = 0;
+        for (Map.Entry<String, List<Long>> host : cold.entrySet()) {
+            long start = born.get(host.getKey());
+            long[] got = most(host.getValue().stream().filter(at -> at - start <= within).toList());
+            if (got[0] > figure) {
+                figure = got[0];
+                seen = host.getKey() + " " + (got[1] - start) / 1000 + " ms after its start";
+            }
+        }
+        add(rows, name, figure, seen);
+    }
+
     private double meanOfWarm() {
         long[] all = warm.values().stream().flatMap(List::stream).mapToLong(Long::longValue).toArray();
         if (all.length == 0) {
@@ -148,18 +173,10 @@
         add(rows, "sends to hosts that leave", leaving, "");
         add(rows, "last of them after it was told, ms", Math.round(afterDrain / 1e3), afterDrainOf);
         repeats.forEach((reason, count) -> add(rows, "repeats, " + reason, count, ""));
-        String[] most = {""};
-        long[] figure = {0};
-        cold.forEach((host, times) -> {
-            long got = most(times);
-            if (got > figure[0]) {
-                figure[0] = got;
-                most[0] = host;
-            }
-        });
         String in = " in " + span / 1000 + " ms";
         add(rows, "cold hosts", cold.size(), "");
-        add(rows, "most sent to a cold host" + in, figure[0], most[0]);
+        addCold(rows, "most sent to a cold host" + in, Long.MAX_VALUE);
+        addCold(rows, "likewise in its first " + EARLY / 1_000_000 + " s", EARLY);
         rows.add(Arrays.asList("mean sent to a host not cold" + in, String.format("%.1f", meanOfWarm()), ""));
         return rows;
     }
--- a/src/main/java/mastdrift/tally/Step.java
+++ b/src/main/java/mastdrift/tally/Step.java
@@ -12,7 +12,7 @@
     @param attempt the number of the attempt from 0, or -1 where it is of the request as a whole
     @param host the host's uid, or empty
     @param word by kind: the class and its repeat rule, the host's state, how it ended
-    @param span microseconds, by kind: the time left, the time since the host's drain was told, or 0 */
+    @param span microseconds, by kind: the time left, the time since the host's drain or start, or 0 */
 public record Step(long at, String id, Kind kind, int attempt, String host, String word, long span) {
 
     /** Begins its line, behind whatever the log puts ahead. */
@@ -22,7 +22,8 @@
     public enum Kind {
         /** The gateway took it; the word is tenant:class:REPEAT, where there are tenants, the span the time left. */
         TAKEN,
-        /** An attempt was handed to its host's connections; the word is the host's state, the span the time since its drain was told. */
+        /** An attempt was handed to its host's connections; the word is the host's state, the span the time since its drain was told,
+            or since it started where it is cold. */
         SENT,
         /** A new connection for it stands, and its first byte leaves: word and span as for SENT. */
         OPENED,
--- a/src/test/java/mastdrift/TenantTest.java
+++ b/src/test/java/mastdrift/TenantTest.java
@@ -82,7 +82,8 @@
             gateway.advance(1_000_000 / 28);
             long id = gateway.request("read", who, 1_000L + i, 1_000_000);
             out.addAll(gateway.sends(id));
-            while (!out.isEmpty() && gateway.now - out.peek().at() >= 450_000) {  // later than the aim: of what is beyond a share, refusals begin
+            // First in time, then later than the aim: of what is beyond a share, refusals begin.
+            while (!out.isEmpty() && gateway.now - out.peek().at() >= (i < 300 ? 100_000 : 450_000)) {
                 gateway.end(out.poll(), Outcome.DELIVERED);
             }
             if (i > 400) {
--- a/src/test/java/mastdrift/net/TallyingTest.java
+++ b/src/test/java/mastdrift/net/TallyingTest.java
@@ -103,7 +103,7 @@
             String request = read(20_000);
             assertEquals(503, node.ask(request).status());
             Fleet fleet = logged(node, trace(request), "REFUSED HOSTS");
-            assertEquals("TAKEN  read:SAFE, SENT s1 warm, OPENED s1 warm, ENDED s1 SHED, ANSWERED  REFUSED HOSTS", steps(fleet));
+            assertEquals("TAKEN  acme:read:SAFE, SENT s1 warm, OPENED s1 warm, ENDED s1 SHED, ANSWERED  REFUSED HOSTS", steps(fleet));
             assertTrue(fleet.margins().rows().contains(List.of("requests followed", "1", "")));
             assertTrue(fleet.margins().rows().contains(List.of("answered REFUSED HOSTS", "1", "")));
             assertEquals(0, fleet.faulty());
--- a/src/test/java/mastdrift/tally/StepTest.java
+++ b/src/test/java/mastdrift/tally/StepTest.java
@@ -57,7 +57,7 @@
         for (int i = 0; i < 6; i++) {  // 3 in any two seconds, though 6 in all
             long at = 2_000_000 + i * 900_000L;
             fleet.read("n0", 1, new Step(at, "k" + i, Step.Kind.TAKEN, -1, "", "read:SAFE", 1).line());
-            fleet.read("n0", 1, new Step(at, "k" + i, Step.Kind.SENT, 0, "h9", Step.COLD, 0).line());
+            fleet.read("n0", 1, new Step(at, "k" + i, Step.Kind.SENT, 0, "h9", Step.COLD, i * 900_000L).line());
             fleet.read("n0", 1, new Step(at, "k" + i, Step.Kind.ANSWERED, -1, "", "LEFT", 900_000).line());
         }
         fleet.end();
@@ -71,7 +71,8 @@
         assertEquals("1 ", row(margins, "sends to hosts that leave"));
         assertEquals("120 a at h1", row(margins, "last of them after it was told, ms"));
         assertEquals("1 ", row(margins, "repeats, KEYED after SHED"));
-        assertEquals("3 h9", row(margins, "most sent to a cold host in 2000 ms"));
+        assertEquals("3 h9 1800 ms after its start", row(margins, "most sent to a cold host in 2000 ms"));
+        assertEquals("3 h9 1800 ms after its start", row(margins, "likewise in its first 5 s"));
         assertTrue(margins.rows().stream().allMatch(row -> row.size() == 3));
     }
 }
