A stop of serve answers what is open within the time that it has

Cause: Service.stop gave ClientSide.stop all of its seconds, and that answers what is open 0.4 s after them, so requests whose deadline lay beyond were unanswered when the program ended. A stop shorter than 1.5 s never counted as done, either: ClientSide closed idle connections only then.

Change: a second of the time is kept for the last answers and their way out; a short stop serves on no longer than its answers may take.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -154,7 +154,7 @@
     }
 
     /** Goes on serving for a moment, then finishes what was taken and closes; {@code then} runs once all is answered. That waits for the
-        longest deadline, but no more than {@code longest} microseconds: what is open by then has its answer at once, since a program
+        longest deadline, but no more than {@code longest} microseconds: what is open 0.4 s later has its answer at once, since a program
         that is killed answers nobody. */
     public void stop(long longest, Runnable then) {
         stopping = true;
@@ -166,7 +166,7 @@
             closeIdle();
             stopped = then;
             checkStopped();
-        }, STOP_SERVING_MILLIS, TimeUnit.MILLISECONDS);
+        }, Math.min(STOP_SERVING_MILLIS, (longest + STOP_ANSWERED) / 1_000), TimeUnit.MILLISECONDS);
         long answered = answerBy - ledger.now();
         loop.schedule(() -> connections.each(Phase.BUSY, Connection::end), answered, TimeUnit.MICROSECONDS);
         // Whoever is still there then is worth a line: the program may be killed next.
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -70,6 +70,8 @@
     private static final int OPEN_MOST = 20_000;
     private static final long RETRY_AFTER_MOST = 2_000_000;
     private static final long RETIRE_MILLIS = 1_000;
+    // Of the time that a stop is given: for the last answers, which come 0.4 s after the time that requests are given, and their way out.
+    private static final long STOP_SPARE = 1_000_000;
     // Of answers that are kept for a listener's resends: what all may hold, for each that may be.
     private static final int KEPT_BYTES = 256;
 
@@ -422,13 +424,13 @@
     // ---- the end
 
     /** Stops as a gateway does at SIGTERM: serves on for a moment, answers what it has taken, then ends; waits at most so
-        long. Returns whether all was answered. */
+        long, 1 s or more, and what is open 0.6 s before that has its answer. Returns whether all was answered. */
     public boolean stop(long seconds) throws InterruptedException {
         watcher.close();
         CountDownLatch answered = new CountDownLatch(1);
         loop.execute(() -> {
             radius.forEach(RadiusFront::close);  // chargers send again, to whoever is there
-            clients.stop(TimeUnit.SECONDS.toMicros(seconds), answered::countDown);
+            clients.stop(Math.max(0, TimeUnit.SECONDS.toMicros(seconds) - STOP_SPARE), answered::countDown);
         });
         boolean all = answered.await(seconds, TimeUnit.SECONDS);
         close();
--- a/src/test/java/mastdrift/serve/ServiceTest.java
+++ b/src/test/java/mastdrift/serve/ServiceTest.java
@@ -328,6 +328,23 @@
         assertEquals(2, assertThrows(IllegalArgumentException.class, rig::start).getMessage().lines().count());
     }
 
+    // ---- the end
+
+    /** A stop has less time than what is open: it is answered all the same, before the stop is over. */
+    @Test
+    void aStopAnswersWhatIsOpenWithinItsTime() throws Exception {
+        rig.save("main.toml", list(node(a, "bilbao", "")));
+        rig.gateway(MAIN + FREE);
+        rig.start();
+        a.work(60_000_000);
+        try (StandInClient client = rig.client()) {
+            CompletableFuture<StandInClient.Answer> out = CompletableFuture.supplyAsync(() -> rig.ask(client, null));
+            rig.await(() -> a.lastAt() > 0, "the request is out");
+            assertTrue(rig.service.stop(3), "all is answered within the 3 s of the stop");
+            assertTrue(out.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS).status() >= 500, "with a whole answer");
+        }
+    }
+
     // ---- many
 
     /** The hard case of 1,000 changes, here as fast as they are taken: the last one is in force, and nothing is left over. */
