A due timer that cancels the last of its slot no longer spins the loop for good

Cause: Wheel.play remembered the last entry of a slot and went round until it met it.

Change: what is due is taken out of its slot first, then played; what was cancelled meanwhile is passed over, and a fault leaves the rest to the next turn, as before.

--- a/src/main/java/mastdrift/engine/Wheel.java
+++ b/src/main/java/mastdrift/engine/Wheel.java
@@ -80,23 +80,46 @@
         }
     }
 
-    /** Those of one slot whose tick has come; what one of them begins or cancels is safe. */
+    /** Those of one slot whose tick has come. They are taken out of it before the first is played, since any may cancel any, in this slot too, or begin others
+        in it. One that throws leaves those behind it to the next turn. */
     private void play(Entry first, long tick) {
-        Entry last = first == null ? null : first.before;
+        Entry due = null;
+        Entry last = null;
         for (Entry entry = first; entry != null; ) {
-            Entry next = entry == last ? null : entry.next;
-            if (entry.tick <= tick && entry.linked) {
-                entry.unlink();
-                Runnable what = entry.what;
-                entry.what = null;
-                what.run();
-                if (next != null && !next.linked) {
-                    next = slots[(int) tick & MASK];  // it cancelled the next: look at the slot anew
-                    last = next == null ? null : next.before;
+            Entry next = entry.next == first ? null : entry.next;
+            entry.after = null;
+            if (entry.tick <= tick) {
+                due = due == null ? entry : due;
+                if (last != null) {
+                    last.after = entry;
                 }
+                last = entry;
             }
             entry = next;
         }
+        for (Entry entry = due; entry != null; entry = entry.after) {
+            entry.unlink();
+        }
+        for (Entry entry = due; entry != null; entry = entry.after) {
+            Runnable what = entry.what;
+            entry.what = null;
+            if (what != null) {
+                try {
+                    what.run();
+                } catch (RuntimeException | Error fault) {
+                    relink(entry.after);
+                    throw fault;
+                }
+            }
+        }
+    }
+
+    private static void relink(Entry from) {
+        for (Entry entry = from; entry != null; entry = entry.after) {
+            if (entry.what != null) {
+                entry.link();
+            }
+        }
     }
 
     /** The first tick from {@code from} to {@code most} whose slot has an entry; {@code most} where there is none. */
@@ -122,6 +145,7 @@
         private Runnable what;
         private Entry before;
         private Entry next;
+        private Entry after;  // among those that are due
         private boolean linked;
 
         Entry(long tick, Runnable what) {
@@ -163,9 +187,9 @@
 
         @Override
         public void cancel() {
+            what = null;
             if (linked) {
                 unlink();
-                what = null;
             }
         }
     }
--- a/src/test/java/mastdrift/engine/WheelTest.java
+++ b/src/test/java/mastdrift/engine/WheelTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class WheelTest {
 
@@ -112,6 +113,24 @@
         assertTrue(loop.fired <= 3, "fired " + loop.fired);
     }
 
+    /** The last of a slot is cancelled by an earlier one, with one of a later round between them: the round goes on, and ends. */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void whatCancelsTheLastOfItsSlotEndsItsTurn() {
+        Loop loop = new Loop();
+        Wheel wheel = new Wheel(loop, loop);
+        List<String> came = new ArrayList<>();
+        Timers.Timer[] last = new Timers.Timer[1];
+        wheel.after(5_000, () -> last[0].cancel());
+        wheel.after(5_000 + 4_096 * Wheel.TICK, () -> came.add("next round"));
+        last[0] = wheel.after(5_000, () -> came.add("cancelled"));
+        loop.until(loop.now + 10_000, null, 0);
+        assertEquals(List.of(), came);
+        loop.until(loop.now + 5_000_000, null, 0);
+        assertEquals(List.of("next round"), came);
+        assertEquals(0, wheel.count());
+    }
+
     /** A fault in one doesn't lose those behind it. */
     @Test
     void aFaultDoesNotStopTheWheel() {
