A request's time counts from when it may have come, also before its accept

Lines at fault: ClientSide.Connection.arrived took ledger.arrived(), the bound of one turn, for a connection accepted a turn ago, of which 16 are taken a turn; TimedLoop believed a wait that the process slept through (a collection, a compiler, SIGSTOP).

Change: a connection's first request counts from when the system's queue of connections was last seen empty; a wait ends after 50 ms at the latest, the slack that the protocol gives, and one that ends more than 5 ms later than it was to counts as the gateway's own from its begin. So what is not seen is 50 ms at most.

Result: LatenessTest.whatWaitedToBeAcceptedHasItsAnswerInTime, 80 connections and turns of 150 ms: 423 ms late at the 17th before, within two turns now.

--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -66,6 +66,11 @@
         return now - turns.own(now);
     }
 
+    /** Which of its turns the loop is in, from 1 up; 0 where nobody tells of turns. */
+    public long turn() {
+        return turns.turn();
+    }
+
     /** Every request from now on is told to it. */
     public void witness(Witness by) {
         witness = by;
--- a/src/main/java/mastdrift/lateness/Turns.java
+++ b/src/main/java/mastdrift/lateness/Turns.java
@@ -24,6 +24,7 @@
     public static final long INTERVAL = 100_000;
 
     private boolean told;
+    private long turn;
     private long waitsSince;
     private long back;
     private long arrivedAfter;
@@ -53,6 +54,12 @@
         }
         told = true;
         back = now;
+        turn++;
+    }
+
+    /** Which turn this is, from 1 up; 0 for a loop that tells of none. */
+    public long turn() {
+        return turn;
     }
 
     /** All that was there when the wait ended has been handled; timers and tasks come next. */
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
@@ -35,7 +36,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Set;
 import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
@@ -65,6 +65,8 @@
 
     private static final int BODY_MOST = 64 << 10;
     private static final int BACKLOG = 1024;
+    // Connections that are taken from the system's queue in one turn: more would hold up everybody else.
+    private static final int ACCEPTED_MOST = 16;
     private static final int PIPELINED_MOST = 8;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
@@ -91,6 +93,8 @@
     private final Connections<Connection> connections;
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
+    private boolean queueSeen = true;  // to its end, by the last look at the system's queue of new connections
+    private long queuedSince;  // the earliest moment at which what is taken from it now may have come
     private boolean stopping;
     private boolean closing;
     private long answerBy = Long.MAX_VALUE;
@@ -141,7 +145,9 @@
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_MOST))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(new Queue())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -196,6 +202,28 @@
         connections.overdue(ledger.now(), SWEEP_MOST, Connection::overdue);
     }
 
+    /** Looks at the system's queue of new connections. What waits there has been taken, by the platform's rules, and its time runs: while
+        a look doesn't come to the queue's end, the next one finds what may have come before it. */
+    private final class Queue extends ChannelInboundHandlerAdapter {
+
+        private int accepted;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object child) {
+            if (accepted++ == 0 && queueSeen) {
+                queuedSince = ledger.arrived();
+            }
+            context.fireChannelRead(child);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            queueSeen = accepted < ACCEPTED_MOST && context.channel().config().isAutoRead();
+            accepted = 0;
+            context.fireChannelReadComplete();
+        }
+    }
+
     private boolean makeRoom(Connections.Entry<Connection> newcomer) {
         Connection gives = connections.givesWay(newcomer);
         if (gives != null) {
@@ -247,11 +275,13 @@
         private final Channel channel;
         private Connections.Entry<Connection> entry;
         private StrictDecoder decoder;  // null while there is none
-        private Queue<Arrived> waiting;  // requests behind the current one, null until there is one
+        private ArrayDeque<Arrived> waiting;  // requests behind the current one, null until there is one
         private FullHttpRequest current;
         private Exchange exchange;
         private String id;
         private boolean read;
+        private long openedIn;  // the turn
+        private long openedSince;  // the earliest moment at which it may have been there
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -260,6 +290,8 @@
         /** At the bound another one makes room; where none can, no more are accepted for now. */
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            openedIn = ledger.turn();
+            openedSince = queuedSince;
             entry = connections.opened(ledger.now(), this, holder(channel.remoteAddress()));
             if (connections.size() > most && !makeRoom(entry)) {
                 server.config().setAutoRead(false);
@@ -325,7 +357,8 @@
         /** Takes over the message. */
         private void arrived(FullHttpRequest message) {
             read = true;
-            Arrived arrived = new Arrived(message, ledger.arrived());
+            // What the first wait after the accept finds may have been there as long as the connection.
+            Arrived arrived = new Arrived(message, ledger.turn() == openedIn + 1 ? Math.min(openedSince, ledger.arrived()) : ledger.arrived());
             if (current == null) {
                 next(arrived);
                 return;
--- a/src/main/java/mastdrift/net/TimedLoop.java
+++ b/src/main/java/mastdrift/net/TimedLoop.java
@@ -17,6 +17,12 @@
 
     // What changes in less than that is not worth a look at the run queue.
     private static final long LOOK = 1_000;
+    // A wait ends so soon even if nothing comes. One that ends late shows that the thread could not run, whoever had the core: a
+    // collection or a compiler of its own, a stopped process, a machine that stood still. One that ends in time can have hidden no
+    // more than this, which is the slack that the protocol gives to each limit (PROTOCOL, The rules on sockets).
+    private static final long WAIT_MOST = 50_000;
+    // The selector's time is in whole milliseconds, and a thread is woken a little late on any machine.
+    private static final long OVERSLEPT = 5_000;
 
     /** Starts one. */
     public static TimedLoop start() {
@@ -37,6 +43,7 @@
         private final RunQueue runQueue = new RunQueue();
         private IoHandlerContext context;
         private long waitsSince;
+        private long waitsUntil;
         private long lookedAt;
         private long looked;
 
@@ -61,6 +68,7 @@
                 now = clock.now();
             }
             waitsSince = now;
+            waitsUntil = Long.MAX_VALUE;
             turns.waits(now);
             int handled = handler.run(this);
             turns.handled();
@@ -71,7 +79,9 @@
         public boolean shouldReportActiveIoTime() {
             long now = clock.now();
             long before = looked;
-            turns.back(now, now - waitsSince >= LOOK ? look(now) - before : 0);
+            long kept = now - waitsSince >= LOOK ? look(now) - before : 0;
+            // What came while the thread could not run came at a moment that nobody knows.
+            turns.back(now, now - OVERSLEPT > waitsUntil ? now - waitsSince : kept);
             return context.shouldReportActiveIoTime();
         }
 
@@ -88,7 +98,9 @@
 
         @Override
         public long delayNanos(long currentTimeNanos) {
-            return context.delayNanos(currentTimeNanos);
+            long nanos = Math.min(context.delayNanos(currentTimeNanos), WAIT_MOST * 1_000);
+            waitsUntil = clock.now() + nanos / 1_000;
+            return nanos;
         }
 
         @Override
--- a/src/test/java/mastdrift/net/LatenessTest.java
+++ b/src/test/java/mastdrift/net/LatenessTest.java
@@ -11,6 +11,7 @@
 import static mastdrift.net.Loopback.tell;
 import static mastdrift.net.Loopback.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -212,6 +213,33 @@
         }
     }
 
+    /** Every turn of the loop is long, and more connections have come than one turn takes: the last of them is accepted some turns
+        after its request was there. However often it was passed over, its time counts from the client's send, but for one turn more. */
+    @Test
+    void whatWaitedToBeAcceptedHasItsAnswerInTime() throws Exception {
+        int expires = 1_500;
+        long turn = 150_000;
+        try (Server discovery = discovery(); Server host = new Server(message -> { });
+                Held gateway = new Held(discovery, up("s1", host))) {
+            Socket first = gateway.connect();  // loads classes
+            write(first, read(1));
+            assertNotNull(Loopback.read(first));
+            gateway.timed.loop().scheduleWithFixedDelay(() -> pause(turn), 0, 1_000, TimeUnit.MICROSECONDS);
+            List<Socket> sockets = new ArrayList<>();
+            long[] sent = new long[80];
+            for (int i = 0; i < sent.length; i++) {
+                sockets.add(gateway.connect());
+                write(sockets.get(i), read(expires).replace("9b1f", "id" + i));
+                sent[i] = System.nanoTime();
+            }
+            for (int i = 0; i < sent.length; i++) {
+                assertNotNull(Loopback.read(sockets.get(i)));
+                long late = (System.nanoTime() - sent[i]) / 1_000 - expires * 1_000L;
+                assertTrue(late <= 2 * turn, "answered " + late + " us after its time, number " + i);
+            }
+        }
+    }
+
     /** The drain came in behind the request, while the loop was held for longer than a drain may take: read in the same turn, the
         request must not go to the host that drains. */
     @Test
