--- /dev/null
+++ b/src/main/java/mastdrift/cli/PeersCommand.java
@@ -0,0 +1,92 @@
+package mastdrift.cli;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import mastdrift.config.Configuration;
+import mastdrift.config.ConfigurationReader;
+import mastdrift.files.FileTexts;
+import mastdrift.files.StatusFile;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Which gateways there are, as one of them sees it. */
+@Command(name = "peers", description = "Shows which gateways a gateway knows of, from the status file of its table [peers].", mixinStandardHelpOptions = true)
+final class PeersCommand implements Callable<Integer> {
+
+    private static final int REFUSED = 1;
+    private static final int NOTHING = 3;
+
+    /** How it is written. */
+    enum Form { TEXT, JSON }
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "the gateway's file")
+    private Path file;
+
+    @Option(names = "--form", paramLabel = "FORM", defaultValue = "TEXT", description = "text or json (${DEFAULT-VALUE})")
+    private Form form;
+
+    @Override
+    public Integer call() throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        PrintWriter err = spec.commandLine().getErr();
+        ConfigurationReader.Result result = FileTexts.read(file);
+        result.problems().forEach(err::println);
+        Configuration configuration = result.configuration();
+        if (configuration == null) {
+            return REFUSED;
+        }
+        String name = configuration.peers() == null ? null : configuration.peers().statusFile();
+        if (name == null) {
+            err.println(file + ": expected a table [peers] with status_file, found " + (configuration.peers() == null ? "no such table" : "none in it"));
+            return REFUSED;
+        }
+        Map<String, Object> status = new StatusFile(file, name).read();
+        if (status == null) {
+            err.println(name + ": expected what a gateway wrote, found nothing; has it been started?");
+            return NOTHING;
+        }
+        if (form == Form.JSON) {
+            out.println(JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(status));
+        } else {
+            text(status, out);
+        }
+        return 0;
+    }
+
+    private static void text(Map<String, Object> status, PrintWriter out) {
+        out.println("gateway " + status.get("gateway") + " in " + status.get("zone") + ", life " + status.get("life") + ", build " + status.get("build") + ", settings "
+                + status.get("settings") + ", written at " + status.get("at"));
+        if (Boolean.TRUE.equals(status.get("name_taken"))) {
+            out.println("its name is taken: another gateway of this installation answers to it");
+        }
+        if (status.get("health") instanceof Integer health && health > 0) {
+            out.println("it doubts itself: local health " + health + " of 8, 0 is well");
+        }
+        List<?> members = status.get("members") instanceof List<?> list ? list : List.of();
+        out.printf("%-20s %-12s %-10s %10s %10s %-18s %-12s %s%n", "gateway", "zone", "standing", "since", "heard", "life", "build", "what differs");
+        for (Object each : members) {
+            if (each instanceof Map<?, ?> member) {
+                String differs = (status.get("settings").equals(member.get("settings")) ? "" : "settings " + member.get("settings") + " ")
+                        + (status.get("build").equals(member.get("build")) ? "" : "build");
+                out.printf(Locale.ROOT, "%-20s %-12s %-10s %10s %10s %-18s %-12s %s%n", member.get("name"), member.get("zone"), member.get("standing"),
+                        seconds(member.get("since_ms")), seconds(member.get("heard_ms")), member.get("life"), member.get("build"),
+                        differs.isEmpty() ? "nothing" : differs.strip());
+            }
+        }
+    }
+
+    private static String seconds(Object millis) {
+        return millis instanceof Number number ? String.format(Locale.ROOT, "%.1f s", number.longValue() / 1e3) : "never";
+    }
+}
--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -10,8 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Links;
 import mastdrift.Balancer.Repeat;
@@ -37,8 +35,6 @@
     private static final long MILLI = 1000;
     private static final long SECOND = 1000 * MILLI;
     private static final long MINUTE = 60 * SECOND;
-    private static final Pattern ENDPOINT = Pattern.compile(
-            "(?:\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(\\d{1,5})");
 
     /** Where texts come from: the file system, or a test. */
     public interface Texts {
@@ -88,11 +84,12 @@
         List<Route> routes = routes(root, pools.keySet(), gateway.zones(), classes, tenants);
         List<Override> overrides = overrides(root);
         ZoneSettings zones = ZonesReader.read(root, gateway.zone(), gateway.zones(), classes, tenants, pools.keySet());
+        PeerSettings peers = PeersReader.read(root, gateway);
         root.noMore();
         Map<String, List<Node>> nodes = nodes(pools, gateway.zones(), files);
         fit(root, radius, routes, pools);
         radius.forEach(each -> alike(root, each, routes));
-        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes, zones);
+        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes, zones, peers);
     }
 
     // ---- the gateway's own file
@@ -107,7 +104,7 @@
         }
         int gateways = (int) section.whole("gateways", 1, 1, 1000);
         GatewaySettings gateway = new GatewaySettings(Tables.word(section, "name", section.text("name", "gateway")),
-                endpoint(section, "listen", section.requiredText("listen")), zone, zones,
+                Tables.endpoint(section, "listen", section.requiredText("listen")), zone, zones,
                 (int) section.whole("number", 0, 0, gateways - 1), gateways,
                 (int) section.whole("connections", 1024, 8, 1 << 20), bounds(section), section.text("status_file"),
                 section.span("settle", 50 * MILLI, 20 * MILLI, 10 * SECOND));
@@ -138,7 +135,7 @@
             if (clients.isEmpty()) {
                 section.problem("client", "expected at least one client, [[radius.client]], found none");
             }
-            listeners.add(new RadiusSettings(name, endpoint(section, "listen", section.requiredText("listen")),
+            listeners.add(new RadiusSettings(name, Tables.endpoint(section, "listen", section.requiredText("listen")),
                     radiusClass(section, "access_class", classes, Repeat.SAFE),
                     radiusClass(section, "conversation_class", classes, Repeat.UNSAFE),
                     radiusClass(section, "accounting_class", classes, Repeat.KEYED), clients,
@@ -162,7 +159,7 @@
 
     private static RadiusSettings.Client radiusClient(Section section, List<Tenant> tenants) {
         AddressRange range = Tables.range(section, "network");
-        SecretRef secret = secret(section);
+        SecretRef secret = Tables.secret(section);
         if (secret == null) {
             section.problem("expected secret_file or secret_variable, found neither");
         }
@@ -174,16 +171,6 @@
         return client;
     }
 
-    /** Null where there is none. */
-    private static SecretRef secret(Section section) {
-        String file = section.text("secret_file");
-        String variable = section.text("secret_variable");
-        if (file != null && variable != null) {
-            section.problem("secret_file", "expected secret_file or secret_variable, found both");
-        }
-        return file != null ? new SecretRef(true, file) : variable != null ? new SecretRef(false, variable) : null;
-    }
-
     /** What RADIUS asks goes to RADIUS servers, and nothing else does. */
     private static void fit(Section root, List<RadiusSettings> radius, List<Route> routes, Map<String, PoolSettings> pools) {
         Set<String> classes = new HashSet<>();
@@ -252,10 +239,10 @@
                 below.flag("weights_may_be_zero", usual.weightsMayBeZero()));
         below.noMore();
         PoolSettings pool = new PoolSettings(name, files,
-                discovery == null ? null : endpoint(section, "discovery", discovery),
+                discovery == null ? null : Tables.endpoint(section, "discovery", discovery),
                 (int) section.whole("max_attempts", 4, 1, 16),
                 (int) section.whole("connections", 1024, 1, 1 << 16), section.flag("probes", true), links, rules,
-                secret(section), guards);
+                Tables.secret(section), guards);
         section.noMore();
         return pool;
     }
@@ -391,27 +378,11 @@
             section.problem("zone", "expected one of the zones, found nothing");
         }
         long cell = section.whole("cell", -1, 0, Integer.MAX_VALUE);
-        Node node = new Node(uid, endpoint == null ? null : endpoint(section, "endpoint", endpoint), zone,
+        Node node = new Node(uid, endpoint == null ? null : Tables.endpoint(section, "endpoint", endpoint), zone,
                 cell < 0 ? null : Integer.valueOf((int) cell), section.text("kind"), section.real("weight", 0, 1e6),
                 section.word("state", Health.UP, List.of("up", "drain"), List.of(Health.UP, Health.LEAVING)),
                 section.whole("started_ms", 0, 0, Long.MAX_VALUE / MILLI) * MILLI, section.place());
         section.noMore();
         return node;
     }
-
-    // ---- values
-
-    private static String endpoint(Section section, String key, String text) {
-        Matcher matcher = ENDPOINT.matcher(text);
-        boolean fits = matcher.matches() && Integer.parseInt(matcher.group(1)) <= 65_535;
-        if (fits && !text.startsWith("[")) {
-            for (String part : text.substring(0, text.indexOf(':')).split("\\.")) {
-                fits &= Integer.parseInt(part) <= 255;
-            }
-        }
-        if (!fits && !text.equals("?")) {
-            section.problem(key, "expected ADDRESS:PORT in digits, found \"" + text + "\"");
-        }
-        return text;
-    }
 }
--- a/src/main/java/mastdrift/config/Tables.java
+++ b/src/main/java/mastdrift/config/Tables.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import mastdrift.Balancer.Group;
 import mastdrift.Balancer.Repeat;
@@ -22,6 +23,9 @@
     private static final long MINUTE = 60 * SECOND;
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
 
+    private static final Pattern ENDPOINT = Pattern.compile(
+            "(?:\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(\\d{1,5})");
+
     private Tables() { }
 
     /** The classes of requests, {@code [[class]]}; a problem where there are none. */
@@ -119,6 +123,31 @@
         return name;
     }
 
+    /** An address and a port in digits: a problem where it is none. */
+    static String endpoint(Section section, String key, String text) {
+        Matcher matcher = ENDPOINT.matcher(text);
+        boolean fits = matcher.matches() && Integer.parseInt(matcher.group(1)) <= 65_535;
+        if (fits && !text.startsWith("[")) {
+            for (String part : text.substring(0, text.indexOf(':')).split("\\.")) {
+                fits &= Integer.parseInt(part) <= 255;
+            }
+        }
+        if (!fits && !text.equals("?")) {
+            section.problem(key, "expected ADDRESS:PORT in digits, found \"" + text + "\"");
+        }
+        return text;
+    }
+
+    /** Where a secret is, by {@code secret_file} or {@code secret_variable}; null where there is neither. */
+    static SecretRef secret(Section section) {
+        String file = section.text("secret_file");
+        String variable = section.text("secret_variable");
+        if (file != null && variable != null) {
+            section.problem("secret_file", "expected secret_file or secret_variable, found both");
+        }
+        return file != null ? new SecretRef(true, file) : variable != null ? new SecretRef(false, variable) : null;
+    }
+
     static String expectedOne(String what, List<String> names, String found) {
         String nearest = Section.nearest(found, names);
         String listed = names.size() <= 8 ? " (" + String.join(", ", names) + ")" : "";
--- /dev/null
+++ b/src/main/java/mastdrift/lab/rig/Judge.java
@@ -0,0 +1,155 @@
+package mastdrift.lab.rig;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mastdrift.lab.rig.History.Line;
+
+/** Checks a history afterwards. What it says is broken names the first line that breaks it. */
+final class Judge {
+
+    /** A law that was broken, where, and how often. */
+    record Broken(String law, Line first, int times) {
+
+        @Override
+        public String toString() {
+            return law + ", " + times + " times, first: " + first;
+        }
+    }
+
+    // A machine that plays several processes may be late itself.
+    private static final long ROOM = 400_000;
+    private static final long AFTER = 6_000_000;  // a gateway that was hit has that long until it is held to anything again
+    // A death is known by then: 99% within 5 s among a hundred; few gateways, and a machine that is shared, may take longer.
+    private static final long DEATH_MOST = 15_000_000;
+
+    private final History history;
+    private final List<Fault> faults;
+    private final List<String> names;
+    private final long servesAt;
+    private final long window;
+    private final Map<String, Broken> broken = new HashMap<>();
+
+    /** Of a run whose faults are timed from {@code servesAt}, with hosts that drop repeats for {@code window} microseconds. */
+    Judge(History history, List<Fault> faults, List<String> names, long servesAt, long window) {
+        this.history = history;
+        this.faults = faults;
+        this.names = names;
+        this.servesAt = servesAt;
+        this.window = window;
+    }
+
+    private void breaks(String law, Line at) {
+        broken.merge(law, new Broken(law, at, 1), (first, again) -> new Broken(law, first.first, first.times + 1));
+    }
+
+    /** All that is broken; empty where nothing is. */
+    List<Broken> judge() {
+        List<Line> lines = history.lines();
+        if (history.full()) {
+            breaks("the history is whole", lines.get(lines.size() - 1));
+        }
+        effects(lines);
+        answers(lines);
+        processes(lines);
+        deaths(lines);
+        return broken.values().stream().sorted((a, b) -> Long.compare(a.first.at(), b.first.at())).toList();
+    }
+
+    /** Rule 2: what a key does happens once. Hosts of one group drop its repeats for the window; a run in another group, or later, is a second effect. */
+    private void effects(List<Line> lines) {
+        Map<String, Line> ran = new HashMap<>();
+        for (Line line : lines) {
+            String key = line.text("key");
+            if (!line.what().equals("ran") || key.isEmpty()) {
+                continue;
+            }
+            Line first = ran.putIfAbsent(key, line);
+            if (first != null && (!first.text("group").equals(line.text("group")) || line.at() - first.at() >= window)) {
+                breaks("no effect happens twice", line);
+            }
+        }
+    }
+
+    /** Rule 1, where the gateway was up and well all the time: a whole answer, of that request, no later than half a second after its time. */
+    private void answers(List<Line> lines) {
+        for (Line line : lines) {
+            if (!line.what().equals("asked")) {
+                continue;
+            }
+            long until = line.at() + RigClients.EXPIRES * 1_000L;
+            if (hit((int) line.number("gateway"), line.at(), until)) {
+                continue;
+            }
+            if (line.number("status") == 0) {
+                breaks("each request gets one final answer", line);
+            } else if (line.number("micros") > RigClients.EXPIRES * 1_000L + 500_000 + ROOM) {
+                breaks("a final answer comes in time", line);
+            }
+            if (line.number("status") == 200 && !line.text("body").endsWith(" " + line.text("id"))) {
+                breaks("an answer is of its own request", line);
+            }
+        }
+    }
+
+    /** A process ends only where it was meant to. */
+    private void processes(List<Line> lines) {
+        for (Line line : lines) {
+            if (line.what().equals("crashed")) {
+                breaks("no gateway crashes", line);
+            }
+        }
+    }
+
+    /** Nobody who is well is called gone by one who is well; and who is down for long is called gone by all who are well. */
+    private void deaths(List<Line> lines) {
+        Map<String, Set<String>> goneAt = new HashMap<>();
+        for (Line line : lines) {
+            if (line.what().equals("peer_gone")) {
+                int subject = names.indexOf(line.text("peer"));
+                int observer = names.indexOf(line.who());
+                if (line.text("by").equals(line.who()) && !between(observer, subject, line.at() - AFTER, line.at())) {
+                    breaks("nobody well is called gone", line);
+                }
+                goneAt.computeIfAbsent(line.text("peer"), peer -> new HashSet<>()).add(line.who());
+            }
+        }
+        long last = lines.isEmpty() ? 0 : lines.get(lines.size() - 1).at();
+        for (Fault fault : faults) {
+            if (fault.kind() == Fault.Kind.RESTART || !fault.kind().down() || fault.until() - fault.from() < DEATH_MOST) {
+                continue;
+            }
+            for (int dead : fault.gateways()) {
+                for (int other = 0; other < names.size(); other++) {
+                    if (!fault.gateways().contains(other) && !between(other, dead, servesAt + fault.from() + 1, servesAt + fault.from() + DEATH_MOST, fault)
+                            && !goneAt.getOrDefault(names.get(dead), Set.of()).contains(names.get(other)) && servesAt + fault.from() + DEATH_MOST < last) {
+                        breaks("a death is known", new Line(servesAt + fault.from(), names.get(other), "never_knew", Map.of("peer", names.get(dead))));
+                    }
+                }
+            }
+        }
+    }
+
+    /** Whether a process was hit, or had been a moment ago. */
+    private boolean hit(int gateway, long from, long until) {
+        for (Fault fault : faults) {
+            if (fault.kind().ofProcesses() && fault.gateways().contains(gateway) && fault.touches(from - servesAt, until - servesAt, AFTER)) {
+                return true;
+            }
+        }
+        return from < servesAt;
+    }
+
+    /** Whether anything was wrong with two gateways, or with any link, in a span of time; but for one fault. */
+    private boolean between(int one, int other, long from, long until, Fault... but) {
+        for (Fault fault : faults) {
+            boolean its = !fault.kind().ofProcesses() || fault.gateways().contains(one) || fault.gateways().contains(other);
+            if (its && !List.of(but).contains(fault) && fault.touches(from - servesAt, until - servesAt, AFTER)) {
+                return true;
+            }
+        }
+        return from < servesAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/peers/edge/LifeFile.java
@@ -0,0 +1,53 @@
+package mastdrift.peers.edge;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.nio.ByteBuffer;
+
+/** Remembers the last life, so that a clock that was set back doesn't make a new start look like an old one. */
+public final class LifeFile {
+
+    private static final String NAME = "life";
+    private static final int BYTES_MOST = 32;
+
+    private final Path file;
+
+    /** In a folder, which is made where it isn't there. */
+    public LifeFile(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        file = folder.resolve(NAME);
+    }
+
+    /** The life of a start at that Unix time in microseconds; it is on disk once this returns. Throws IOException where it can't be written, or what is there is no
+        life: a start then goes by its clock alone. */
+    public long next(long wall) throws IOException {
+        long life = Math.max(wall, last() + 1);
+        Path aside = file.resolveSibling(NAME + ".new");
+        try (FileChannel out = FileChannel.open(aside, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            out.write(ByteBuffer.wrap(Long.toString(life).getBytes(StandardCharsets.US_ASCII)));
+            out.force(true);
+        }
+        Files.move(aside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        return life;
+    }
+
+    private long last() throws IOException {
+        if (!Files.exists(file)) {
+            return 0;
+        }
+        if (Files.size(file) > BYTES_MOST) {
+            throw new IOException(file + ": expected a number, found " + Files.size(file) + " bytes");
+        }
+        String text = Files.readString(file, StandardCharsets.ISO_8859_1).strip();
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new IOException(file + ": expected a number, found something else", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/peers/edge/PeerLinks.java
@@ -0,0 +1,553 @@
+package mastdrift.peers.edge;
+
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.jr.ob.JSON;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.security.SecureRandom;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Connections between gateways, one a direction and pair: what A tells B goes on the one that A opened. Each message is signed.
+ *
+ * <p>Who accepts sends a nonce; who connects answers with who it is, whom it means, a nonce of its own and a signature over all; who accepts signs that. From
+ * then on both sign by a key derived from the nonces, each message with its number: what is replayed, left out, swapped or changed fails, and ends the
+ * connection. Nothing is secret but the key.
+ *
+ * <p>Who accepts says now and then how much it has read. A connection on which that doesn't move on for {@value #SILENT_MILLIS} ms is closed: the other may have vanished
+ * without a word, and what is written would only pile up.
+ *
+ * <p>A message to who can't be reached is dropped, and {@link #send} says so where it is known; whoever sends has to bear that any message may be lost. What is bounded: connections in each direction, those
+ * not yet known ({@value #UNKNOWN_MOST}, for {@value #HELLO_MILLIS} ms), a message ({@value #MESSAGE_MOST} bytes), messages read a second from one ({@value #RATE}; then it is read no faster), bytes that wait for a slow
+ * one ({@value #WAITING_MOST}).
+ *
+ * <p>All methods are called on the loop's thread, and so are the ears.
+ */
+public final class PeerLinks implements AutoCloseable {
+
+    /** A message holds at most so many bytes. */
+    public static final int MESSAGE_MOST = 512 << 10;
+    /** Connections whose other end isn't known yet, at most. */
+    public static final int UNKNOWN_MOST = 64;
+    /** Messages a second that are read from one gateway. */
+    public static final int RATE = 4_000;
+    static final int HELLO_MILLIS = 2_000;
+    static final int SILENT_MILLIS = 3_000;
+    static final int WAITING_MOST = 2 << 20;
+    private static final int CONNECT_MILLIS = 1_000;
+    private static final int RETRY_MILLIS = 200;
+    private static final int SWEEP_MILLIS = 250;
+    private static final int IDLE_MILLIS = 60_000;
+    private static final int QUEUED_MOST = 64;
+    private static final int NONCE = 16;
+    private static final int HELLO_MOST = 1_024;
+    private static final int VERSION = 1;
+    private static final int OVERHEAD = 64;
+    private static final int BACKLOG = 128;
+    private static final byte CHALLENGE = 1;
+    private static final byte HELLO = 2;
+    private static final byte WELCOME = 3;
+    private static final byte MESSAGE = 4;
+    private static final byte SEEN = 5;
+    private static final byte[] OF_HELLO = {HELLO};
+    private static final byte[] OF_WELCOME = {WELCOME};
+    private static final byte[] OF_SESSION = {'s'};
+    private static final JSON CBOR = JSON.builder(new CBORFactory()).build();
+
+    /** Who hears. */
+    public interface Ears {
+        /** A message of a gateway, in one of its lives. */
+        void heard(String from, long life, byte kind, byte[] message);
+
+        /** Something is wrong with a connection: a stable word for what, the other's name or address, and more for a person. */
+        void refused(String what, String who, String text);
+    }
+
+    /** Counts since the start. */
+    public record Counts(long sent, long sentBytes, long received, long receivedBytes, long dropped, long refused) { }
+
+    private final EventLoop loop;
+    private final String installation;
+    private final String own;
+    private final int most;
+    private final Ears ears;
+    private final SecureRandom random = new SecureRandom();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<String, Out> out = new HashMap<>();
+    private final Map<String, In> in = new HashMap<>();
+    private final Set<Channel> accepted = new HashSet<>();
+    private final Map<String, Long> retryAt = new HashMap<>();
+    private final Future<?> sweeps;
+    private List<Seal> keys = List.of();
+    private long life;
+    private int unknown;
+    private Channel server;
+    private boolean closed;
+    private long sent;
+    private long sentBytes;
+    private long received;
+    private long receivedBytes;
+    private long dropped;
+    private long refused;
+
+    /** Of a gateway of an installation, with so many connections in each direction. */
+    public PeerLinks(EventLoop loop, String installation, String own, int most, Ears ears) {
+        this.loop = loop;
+        this.installation = installation;
+        this.own = own;
+        this.most = most;
+        this.ears = ears;
+        sweeps = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Keys that are good from now on, the first for what is sent. Connections stay: they were made by a key that was good. */
+    public void keys(List<byte[]> good) {
+        keys = good.stream().map(Seal::new).toList();
+    }
+
+    /** The own life from now on; connections that were opened in another are opened anew. */
+    public void life(long now) {
+        if (now != life) {
+            life = now;
+            List.copyOf(out.values()).forEach(each -> each.end("a new life"));
+        }
+    }
+
+    /** Where the others are, from now on. */
+    public void addresses(Map<String, InetSocketAddress> now) {
+        addresses.clear();
+        addresses.putAll(now);
+        List.copyOf(out.values()).stream().filter(each -> !each.at.equals(addresses.get(each.to))).forEach(each -> each.end("another address"));
+    }
+
+    /** Binds; whether that went well is in the future. */
+    public ChannelFuture listen(InetSocketAddress at) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(frames(HELLO_MOST), new In(channel));
+                    }
+                }).bind(at);
+        server = bound.channel();
+        return bound;
+    }
+
+    /** Where it listens, once it does. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    /** What passed so far. */
+    public Counts counts() {
+        return new Counts(sent, sentBytes, received, receivedBytes, dropped, refused);
+    }
+
+    /** Gateways that messages go to now, by name. */
+    public Map<String, Boolean> links() {
+        Map<String, Boolean> links = new TreeMap<>();
+        out.forEach((name, each) -> links.put(name, each.session != null));
+        return links;
+    }
+
+    private static LengthFieldBasedFrameDecoder frames(int body) {
+        return new LengthFieldBasedFrameDecoder(body + OVERHEAD, 0, Integer.BYTES, 0, Integer.BYTES);
+    }
+
+    private static ByteBuf frame(Channel channel, byte type, byte[]... parts) {
+        int length = 1;
+        for (byte[] part : parts) {
+            length += part.length;
+        }
+        ByteBuf frame = channel.alloc().buffer(Integer.BYTES + length).writeInt(length).writeByte(type);
+        for (byte[] part : parts) {
+            frame.writeBytes(part);
+        }
+        return frame;
+    }
+
+    private byte[] nonce() {
+        byte[] nonce = new byte[NONCE];
+        random.nextBytes(nonce);
+        return nonce;
+    }
+
+    private static long millis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private static byte[] eight(long number) {
+        return ByteBuffer.allocate(Long.BYTES).putLong(number).array();
+    }
+
+    // ---- sending
+
+    /** Sends a message to a gateway; false where it is known not to arrive. */
+    public boolean send(String to, byte kind, byte[] message) {
+        Out link = message.length > MESSAGE_MOST || closed ? null : out.get(to);
+        if (link == null && !closed && message.length <= MESSAGE_MOST) {
+            link = open(to);
+        }
+        if (link == null || !link.send(new byte[] {kind}, message)) {
+            dropped++;
+            return false;
+        }
+        return true;
+    }
+
+    private Out open(String to) {
+        InetSocketAddress at = addresses.get(to);
+        if (at == null || keys.isEmpty() || millis() < retryAt.getOrDefault(to, Long.MIN_VALUE)) {
+            return null;
+        }
+        if (out.size() >= most) {
+            Out oldest = null;
+            for (Out each : out.values()) {
+                oldest = oldest == null || each.usedAt < oldest.usedAt ? each : oldest;
+            }
+            if (oldest != null) {
+                oldest.end("room for another");
+            }
+        }
+        Out link = new Out(to, at);
+        out.put(to, link);
+        link.connect();
+        return link;
+    }
+
+    private void sweep() {
+        long now = millis();
+        List.copyOf(out.values()).forEach(each -> each.sweep(now));
+        retryAt.values().removeIf(at -> at < now);
+    }
+
+    /** What goes to one gateway. */
+    private final class Out extends SimpleChannelInboundHandler<ByteBuf> {
+
+        private final String to;
+        private final InetSocketAddress at;
+        private final long openedAt = millis();
+        private final Deque<byte[][]> queued = new ArrayDeque<>();
+        private Channel channel;
+        private Seal key;
+        private Seal session;  // null until the other is known
+        private byte[] nonce;
+        private byte[] challenge;
+        private long number;
+        private long seen;
+        private long movedAt;
+        private long usedAt = openedAt;
+        private boolean over;
+
+        Out(String to, InetSocketAddress at) {
+            this.to = to;
+            this.at = at;
+        }
+
+        void connect() {
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel made) {
+                            made.pipeline().addLast(frames(HELLO_MOST), Out.this);
+                        }
+                    }).connect(at);
+            channel = connecting.channel();
+            connecting.addListener((ChannelFutureListener) done -> {
+                if (!done.isSuccess()) {
+                    end("no connection");
+                }
+            });
+        }
+
+        boolean send(byte[] kind, byte[] message) {
+            usedAt = millis();
+            if (session == null) {
+                if (queued.size() >= QUEUED_MOST) {
+                    queued.poll();
+                    dropped++;
+                }
+                return queued.add(new byte[][] {kind, message});
+            }
+            if (channel.unsafe().outboundBuffer() == null || channel.unsafe().outboundBuffer().totalPendingWriteBytes() > WAITING_MOST) {
+                return false;
+            }
+            if (number == seen) {
+                movedAt = usedAt;
+            }
+            byte[] signature = session.sign(++number, OF_SESSION, kind, message);
+            channel.writeAndFlush(frame(channel, MESSAGE, kind, message, signature));
+            sent++;
+            sentBytes += Integer.BYTES + 2 + message.length + Seal.BYTES;
+            return true;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws IOException {
+            byte type = frame.readableBytes() > 0 ? frame.readByte() : 0;
+            byte[] body = ByteBufUtil.getBytes(frame);
+            if (type == CHALLENGE && challenge == null && body.length == NONCE + 1 && body[0] == VERSION) {
+                challenge = Arrays.copyOfRange(body, 1, body.length);
+                nonce = nonce();
+                key = keys.get(0);
+                byte[] hello = CBOR.asBytes(Arrays.asList(installation, own, life, to, nonce));
+                channel.writeAndFlush(frame(channel, HELLO, hello, key.sign(OF_HELLO, challenge, hello)));
+            } else if (type == WELCOME && session == null && challenge != null && Seal.same(body, key.sign(OF_WELCOME, challenge, nonce))) {
+                session = key.derived(OF_SESSION, challenge, nonce);
+                movedAt = millis();
+                for (byte[][] each = queued.poll(); each != null; each = queued.poll()) {
+                    send(each[0], each[1]);
+                }
+            } else if (type == SEEN && session != null && body.length == Long.BYTES + Seal.BYTES
+                    && Seal.same(Arrays.copyOfRange(body, Long.BYTES, body.length), session.sign(-1, Arrays.copyOf(body, Long.BYTES)))) {
+                long until = ByteBuffer.wrap(body).getLong();
+                if (until > seen && until <= number) {
+                    seen = until;
+                    movedAt = millis();
+                }
+            } else {
+                refuse("peer_unknown", to, "expected a gateway that knows the key, found another answer");
+                end("another answer");
+            }
+        }
+
+        void sweep(long now) {
+            if (session == null ? now - openedAt > HELLO_MILLIS : number > seen && now - movedAt > SILENT_MILLIS) {
+                end("silent");
+            } else if (now - usedAt > IDLE_MILLIS) {
+                end("idle");
+            }
+        }
+
+        void end(String why) {
+            if (!over) {
+                over = true;
+                dropped += queued.size();
+                queued.clear();
+                if (out.remove(to, this) && !why.equals("idle")) {
+                    retryAt.put(to, millis() + RETRY_MILLIS);
+                }
+                channel.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            end("ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            end("broken");
+        }
+    }
+
+    private void refuse(String what, String who, String text) {
+        refused++;
+        ears.refused(what, who, text);
+    }
+
+    // ---- hearing
+
+    /** What comes from one gateway. */
+    private final class In extends SimpleChannelInboundHandler<ByteBuf> {
+
+        private final Channel channel;
+        private final byte[] challenge = nonce();
+        private String from;  // null until it is known
+        private long itsLife;
+        private Seal session;
+        private long number;
+        private long told;
+        private boolean telling;
+        private long second;
+        private int inSecond;
+
+        In(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            accepted.add(channel);
+            if (++unknown > UNKNOWN_MOST) {
+                refuse("peer_flood", String.valueOf(channel.remoteAddress()), "expected at most " + UNKNOWN_MOST + " connections that say nothing");
+                channel.close();
+                return;
+            }
+            channel.writeAndFlush(frame(channel, CHALLENGE, new byte[] {VERSION}, challenge));
+            loop.schedule(() -> {
+                if (from == null) {
+                    channel.close();
+                }
+            }, HELLO_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            byte type = frame.readableBytes() > 0 ? frame.readByte() : 0;
+            byte[] body = ByteBufUtil.getBytes(frame);
+            if (from == null) {
+                hello(type, body);
+            } else if (type != MESSAGE || body.length < 1 + Seal.BYTES) {
+                fails("peer_malformed", "expected a message, found type " + type + " of " + body.length + " bytes");
+            } else {
+                message(body);
+            }
+        }
+
+        private void message(byte[] body) {
+            byte[] kind = {body[0]};
+            byte[] message = Arrays.copyOfRange(body, 1, body.length - Seal.BYTES);
+            byte[] signature = Arrays.copyOfRange(body, body.length - Seal.BYTES, body.length);
+            if (!Seal.same(signature, session.sign(++number, OF_SESSION, kind, message))) {
+                fails("peer_signature", "expected the signature of message " + number + ", found another");
+                return;
+            }
+            received++;
+            receivedBytes += Integer.BYTES + 1 + body.length;
+            if (!telling) {
+                telling = true;
+                loop.schedule(this::tell, SWEEP_MILLIS / 2, TimeUnit.MILLISECONDS);
+            }
+            paced();
+            ears.heard(from, itsLife, kind[0], message);
+        }
+
+        /** Who says more than its rate is read again in the next second. */
+        private void paced() {
+            long now = millis();
+            if (now / 1_000 != second) {
+                second = now / 1_000;
+                inSecond = 0;
+            }
+            if (++inSecond >= RATE) {
+                channel.config().setAutoRead(false);
+                loop.schedule(() -> channel.config().setAutoRead(true), 1_000 - now % 1_000, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void tell() {
+            telling = false;
+            if (number > told && channel.isActive()) {
+                told = number;
+                byte[] count = eight(number);
+                channel.writeAndFlush(frame(channel, SEEN, count, session.sign(-1, count)));
+            }
+        }
+
+        private void hello(byte type, byte[] body) {
+            if (type != HELLO || body.length < Seal.BYTES) {
+                fails("peer_malformed", "expected who it is, found type " + type + " of " + body.length + " bytes");
+                return;
+            }
+            byte[] hello = Arrays.copyOf(body, body.length - Seal.BYTES);
+            byte[] signature = Arrays.copyOfRange(body, hello.length, body.length);
+            Seal by = null;
+            for (Seal each : keys) {
+                by = Seal.same(signature, each.sign(OF_HELLO, challenge, hello)) && by == null ? each : by;
+            }
+            if (by == null) {
+                fails("peer_signature", "expected a signature by a key that is good here, found another");
+                return;
+            }
+            Object read;
+            try {
+                read = CBOR.anyFrom(hello);
+            } catch (IOException e) {
+                read = null;
+            }
+            if (!(read instanceof List<?> said) || said.size() != 5 || !(said.get(0) instanceof String of) || !(said.get(1) instanceof String name)
+                    || !(said.get(2) instanceof Number started) || !(said.get(3) instanceof String to) || !(said.get(4) instanceof byte[] nonce)) {
+                fails("peer_malformed", "expected installation, name, life, whom it means and a nonce, found another hello");
+                return;
+            }
+            if (!of.equals(installation) || !to.equals(own) || name.equals(own) || name.isEmpty()) {
+                fails(name.equals(own) ? "peer_own_name" : "peer_elsewhere", "expected a gateway of " + installation + " that means " + own + ", found " + name + " of " + of
+                        + " that means " + to);
+                return;
+            }
+            if (in.size() >= most && !in.containsKey(name)) {
+                fails("peer_too_many", "expected at most " + most + " gateways, found " + name + " beside them");
+                return;
+            }
+            from = name;
+            itsLife = started.longValue();
+            unknown--;
+            session = by.derived(OF_SESSION, challenge, nonce);
+            In before = in.put(from, this);
+            if (before != null) {
+                before.channel.close();
+            }
+            channel.pipeline().replace(LengthFieldBasedFrameDecoder.class, "frames", frames(MESSAGE_MOST));
+            channel.writeAndFlush(frame(channel, WELCOME, by.sign(OF_WELCOME, challenge, nonce)));
+        }
+
+        private void fails(String what, String text) {
+            refuse(what, from == null ? String.valueOf(channel.remoteAddress()) : from, text);
+            channel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (accepted.remove(channel) && from == null) {
+                unknown--;
+            }
+            if (from != null) {
+                in.remove(from, this);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof TooLongFrameException) {
+                fails("peer_too_large", "expected a message of at most " + MESSAGE_MOST + " bytes, found a larger one");
+            } else {
+                channel.close();
+            }
+        }
+    }
+
+    /** Ends at once. */
+    @Override
+    public void close() {
+        closed = true;
+        sweeps.cancel(false);
+        List.copyOf(out.values()).forEach(each -> each.end("closed"));
+        if (server != null) {
+            server.close();
+        }
+        List.copyOf(accepted).forEach(Channel::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/mastdrift/peers/edge/WordCodec.java
@@ -0,0 +1,189 @@
+package mastdrift.peers.edge;
+
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import mastdrift.peers.Card;
+import mastdrift.peers.Digest;
+import mastdrift.peers.Roster;
+import mastdrift.peers.Rumor;
+import mastdrift.peers.Standing;
+import mastdrift.peers.Word;
+
+/** Words and digests as bytes: a version, then an array in CBOR (RFC 8949). A word of a later version, or one that is not well-formed, is refused whole,
+    with what was expected and found where. */
+public final class WordCodec {
+
+    /** Of the words that it writes, and the latest that it reads. */
+    public static final int VERSION = 1;
+    private static final JSON CBOR = JSON.builder(new CBORFactory()).build();
+    private static final Standing[] STANDINGS = Standing.values();
+    private static final int PING = 0;
+    private static final int ACK = 1;
+    private static final int NACK = 2;
+    private static final int ASK = 3;
+    private static final int SYNC = 4;
+
+    /** A word by a build that says things this one doesn't know. */
+    public static final class LaterVersionException extends IllegalArgumentException {
+
+        private static final long serialVersionUID = 1L;
+
+        LaterVersionException(int version) {
+            super("expected words of version " + VERSION + " at most, found version " + version);
+        }
+    }
+
+    private WordCodec() { }
+
+    /** A word as bytes. */
+    public static byte[] bytes(Word word) {
+        List<Object> array = new ArrayList<>();
+        if (word instanceof Word.Ping ping) {
+            array.addAll(Arrays.asList(PING, ping.number()));
+        } else if (word instanceof Word.Ack ack) {
+            array.addAll(Arrays.asList(ACK, ack.number()));
+        } else if (word instanceof Word.Nack nack) {
+            array.addAll(Arrays.asList(NACK, nack.number()));
+        } else if (word instanceof Word.Ask ask) {
+            array.addAll(Arrays.asList(ASK, ask.number(), ask.target()));
+        } else if (word instanceof Word.Sync sync) {
+            array.addAll(Arrays.asList(SYNC, sync.wanted()));
+        }
+        List<Object> rumors = new ArrayList<>();
+        word.rumors().forEach(rumor -> rumors.add(Arrays.asList(rumor.card().name(), rumor.card().life(), rumor.card().zone(), rumor.card().build(),
+                rumor.card().settings(), rumor.incarnation(), rumor.standing().ordinal(), rumor.by())));
+        array.add(rumors);
+        return versioned(array);
+    }
+
+    /** A digest as bytes. */
+    public static byte[] bytes(Digest digest) {
+        return versioned(Arrays.asList(digest.name(), digest.life(), digest.sequence(), digest.total(), digest.out()));
+    }
+
+    private static byte[] versioned(List<?> array) {
+        try {
+            byte[] body = CBOR.asBytes(array);
+            byte[] all = new byte[body.length + 1];
+            all[0] = VERSION;
+            System.arraycopy(body, 0, all, 1, body.length);
+            return all;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);  // of bytes in memory
+        }
+    }
+
+    private static List<?> array(byte[] bytes) {
+        if (bytes.length == 0) {
+            throw new IllegalArgumentException("expected a version, found nothing");
+        }
+        if (bytes[0] != VERSION) {
+            throw new LaterVersionException(bytes[0] & 0xFF);
+        }
+        Object read;
+        try {
+            read = CBOR.anyFrom(Arrays.copyOfRange(bytes, 1, bytes.length));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("expected CBOR, found " + e.getClass().getSimpleName(), e);
+        }
+        if (read instanceof List<?> array) {
+            return array;
+        }
+        throw expected("an array", read, "the word");
+    }
+
+    /** Throws IllegalArgumentException for what is none. */
+    public static Word word(byte[] bytes) {
+        List<?> array = array(bytes);
+        int kind = (int) whole(array, 0, "kind", PING, SYNC);
+        List<Rumor> rumors = rumors(array, kind == ASK ? 3 : 2, kind == SYNC ? Roster.GATEWAYS_MOST : Word.RUMORS_MOST);
+        if (kind == SYNC) {
+            if (item(array, 1, "wanted") instanceof Boolean wanted) {
+                return new Word.Sync(wanted, rumors);
+            }
+            throw expected("true or false", array.get(1), "wanted");
+        }
+        long number = whole(array, 1, "number", Long.MIN_VALUE, Long.MAX_VALUE);
+        return switch (kind) {
+            case PING -> new Word.Ping(number, rumors);
+            case ACK -> new Word.Ack(number, rumors);
+            case NACK -> new Word.Nack(number, rumors);
+            default -> new Word.Ask(number, text(array, 2, "target"), rumors);
+        };
+    }
+
+    /** Throws IllegalArgumentException for what is none. */
+    public static Digest digest(byte[] bytes) {
+        List<?> array = array(bytes);
+        Map<String, Integer> out = new HashMap<>();
+        if (!(item(array, 4, "out") instanceof Map<?, ?> told)) {
+            throw expected("a table", array.get(4), "out");
+        }
+        if (told.size() > Digest.HOSTS_MOST) {
+            throw new IllegalArgumentException("out: expected at most " + Digest.HOSTS_MOST + " hosts, found " + told.size());
+        }
+        told.forEach((host, count) -> {
+            if (!(host instanceof String name) || !(count instanceof Integer number)) {
+                throw expected("numbers by host", count, "out");
+            }
+            out.put(name, number);
+        });
+        return new Digest(text(array, 0, "name"), whole(array, 1, "life", 0, Long.MAX_VALUE), whole(array, 2, "sequence", 0, Long.MAX_VALUE), out,
+                (int) whole(array, 3, "total", Integer.MIN_VALUE, Integer.MAX_VALUE));
+    }
+
+    private static List<Rumor> rumors(List<?> array, int at, int most) {
+        if (!(item(array, at, "rumors") instanceof List<?> listed)) {
+            throw expected("an array", array.get(at), "rumors");
+        }
+        if (listed.size() > most) {
+            throw new IllegalArgumentException("rumors: expected at most " + most + ", found " + listed.size());
+        }
+        List<Rumor> rumors = new ArrayList<>();
+        for (Object each : listed) {
+            if (!(each instanceof List<?> of)) {
+                throw expected("an array", each, "rumors[" + rumors.size() + "]");
+            }
+            Card card = new Card(text(of, 0, "name"), whole(of, 1, "life", 0, Long.MAX_VALUE - 1), text(of, 2, "zone"), text(of, 3, "build"),
+                    text(of, 4, "settings"));
+            rumors.add(new Rumor(card, whole(of, 5, "incarnation", 0, Long.MAX_VALUE - 1),
+                    STANDINGS[(int) whole(of, 6, "standing", 0, STANDINGS.length - 1)], text(of, 7, "by")));
+        }
+        return rumors;
+    }
+
+    private static Object item(List<?> array, int at, String what) {
+        if (at >= array.size()) {
+            throw new IllegalArgumentException(what + ": expected " + (at + 1) + " items, found " + array.size());
+        }
+        return array.get(at);
+    }
+
+    private static long whole(List<?> array, int at, String what, long least, long most) {
+        Object item = item(array, at, what);
+        if ((item instanceof Integer || item instanceof Long) && ((Number) item).longValue() >= least && ((Number) item).longValue() <= most) {
+            return ((Number) item).longValue();
+        }
+        throw expected("a whole number from " + least + " to " + most, item, what);
+    }
+
+    private static String text(List<?> array, int at, String what) {
+        Object item = item(array, at, what);
+        if (item instanceof String text && text.length() <= Card.TEXT_MOST) {
+            return text;
+        }
+        throw expected("a text of at most " + Card.TEXT_MOST + " characters", item, what);
+    }
+
+    private static IllegalArgumentException expected(String what, Object found, String where) {
+        String shown = String.valueOf(found);
+        return new IllegalArgumentException(where + ": expected " + what + ", found " + (shown.length() > 40 ? shown.substring(0, 40) + "..." : shown));
+    }
+}
--- a/src/main/java/mastdrift/serve/Changes.java
+++ b/src/main/java/mastdrift/serve/Changes.java
@@ -41,6 +41,9 @@
         if (counted != (next.zones() != null) || counted && !inForce.zones().sameAtStart(next.zones())) {
             bound.add("[zones]: expected the table, or none, and the files that the gateway started with; start it anew to change them");
         }
+        if ((inForce.peers() == null) != (next.peers() == null) || inForce.peers() != null && !inForce.peers().sameAtStart(next.peers())) {
+            bound.add("[peers]: expected the table, or none, as the gateway started with it but for keys and gateways; start it anew to change it");
+        }
         inForce.pools().forEach((name, pool) -> {
             PoolSettings other = next.pools().get(name);
             if (other != null && !pool.sameAtStart(other)) {
--- /dev/null
+++ b/src/main/java/mastdrift/serve/PeerService.java
@@ -0,0 +1,336 @@
+package mastdrift.serve;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import mastdrift.config.Configuration;
+import mastdrift.config.GatewaySettings;
+import mastdrift.config.PeerSettings;
+import mastdrift.config.SecretRef;
+import mastdrift.events.Events;
+import mastdrift.events.Events.Level;
+import mastdrift.files.StatusFile;
+import mastdrift.net.Addresses;
+import mastdrift.peers.Card;
+import mastdrift.peers.Digest;
+import mastdrift.peers.Roster;
+import mastdrift.peers.RosterSettings;
+import mastdrift.peers.Rumor;
+import mastdrift.peers.Standing;
+import mastdrift.peers.Word;
+import mastdrift.peers.edge.LifeFile;
+import mastdrift.peers.edge.PeerLinks;
+import mastdrift.peers.edge.WordCodec;
+
+/** The other gateways, in a gateway from files: who is there, on a thread of its own, and what they have out, for the modules. */
+final class PeerService implements AutoCloseable {
+
+    private static final byte WORD = 1;
+    private static final byte WORK = 2;
+    private static final long STATUS_MILLIS = 500;
+    private static final int STATUS_ANYWAY = 10;  // times that nothing has changed
+    private static final long LEAVE_MILLIS = 300;
+    private static final long SAID_EVERY_MILLIS = 5_000;
+    // A digest goes to so many others at most, in their turns.
+    private static final int TOLD_MOST = 128;
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory()).next();
+    private final ScheduledThreadPoolExecutor writer = new ScheduledThreadPoolExecutor(1, new DefaultThreadFactory("peers-files", true));
+    private final Events events;
+    private final GatewaySettings gateway;
+    private final PeerSettings settings;
+    private final StatusFile status;  // null for nowhere
+    private final Function<SecretRef, byte[]> secrets;
+    private final PeerLinks links;
+    private final Roster roster;
+    private final long life;
+    private final Map<String, Long> saidAt = new HashMap<>();
+    private Consumer<Digest> works = digest -> { };
+    private Future<?> armed;
+    private long armedFor = Long.MAX_VALUE;
+    private boolean changed = true;
+    private int unchanged;
+    private int told;
+
+    /** Reads what an earlier process left; before the gateway serves, since it waits for the disk. */
+    PeerService(Path file, Configuration configuration, Function<SecretRef, byte[]> secrets, long seed, Events events) {
+        this.events = events;
+        this.secrets = secrets;
+        gateway = configuration.gateway();
+        settings = configuration.peers();
+        status = settings.statusFile() == null ? null : new StatusFile(file, settings.statusFile());
+        links = new PeerLinks(loop, settings.installation(), gateway.name(), settings.connections(), new Ears());
+        life = life(file);
+        Card card = new Card(gateway.name(), life, gateway.zone(), build(), fingerprint(configuration));
+        roster = new Roster(card, RosterSettings.USUAL, seed, now(), new RosterOut());
+        loop.submit(() -> put(configuration)).syncUninterruptibly();
+    }
+
+    private long life(Path file) {
+        long wall = Instant.now().toEpochMilli() * 1_000;
+        if (settings.folder() == null) {
+            return wall;
+        }
+        try {
+            return new LifeFile(file.toAbsolutePath().resolveSibling(settings.folder())).next(wall);
+        } catch (IOException e) {
+            events.event(Level.WARN, "peers_folder", "the folder of peers can't be used, this start goes by its clock: " + e.getMessage());
+            return wall;
+        }
+    }
+
+    private static String build() {
+        String version = PeerService.class.getPackage().getImplementationVersion();
+        return version == null ? "unnamed" : version;
+    }
+
+    /** Of what all gateways should have alike, 12 hexadecimal digits. */
+    private static String fingerprint(Configuration of) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(List.of(of.classes(), of.tenants(), of.routes(), of.gateway().zones(),
+                    of.pools().keySet()).toString().getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest, 0, 6);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);  // every Java has it
+        }
+    }
+
+    /** Microseconds of the monotonic clock, which all processes of a machine share. */
+    private static long now() {
+        return System.nanoTime() / 1_000;
+    }
+
+    /** Throws IllegalArgumentException where it can't listen. Then it says hello. */
+    void listen() {
+        ChannelFuture bound = links.listen(Addresses.parse(settings.listen())).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IllegalArgumentException("no listening for peers on " + settings.listen() + ": " + bound.cause().getMessage());
+        }
+        events.event(Level.INFO, "listening", "listening for peers on " + links.address(), "protocol", "peers", "address", links.address(),
+                "life", roster.card().life());
+        loop.execute(this::tick);
+        if (status != null) {
+            loop.scheduleWithFixedDelay(this::write, STATUS_MILLIS, STATUS_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Of this start; a larger one may be taken later, where that one turns out to be used. */
+    long life() {
+        return life;
+    }
+
+    /** Where it listens. */
+    InetSocketAddress address() {
+        return links.address();
+    }
+
+    /** The operator's file has changed. */
+    void configure(Configuration next) {
+        loop.execute(() -> {
+            put(next);
+            if (!fingerprint(next).equals(roster.card().settings())) {
+                roster.changed(build(), fingerprint(next));
+            }
+        });
+    }
+
+    private void put(Configuration next) {
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        next.peers().gateways().forEach((name, at) -> addresses.put(name, Addresses.parse(at)));
+        links.life(roster.card().life());
+        links.keys(next.peers().keys().stream().map(secrets).toList());
+        links.addresses(addresses);
+        roster.named(addresses.keySet());
+    }
+
+    // ---- work out
+
+    /** Hears what others have out, on the peers' thread. */
+    void works(Consumer<Digest> to) {
+        loop.execute(() -> works = to);
+    }
+
+    /** Tells the others. */
+    void tell(Digest digest) {
+        loop.execute(() -> {
+            byte[] bytes = WordCodec.bytes(digest);
+            List<Roster.Member> present = roster.members().stream().filter(each -> each.rumor().standing() == Standing.ALIVE).toList();
+            for (int i = 0; i < Math.min(TOLD_MOST, present.size()) && !roster.nameTaken(); i++) {
+                links.send(present.get(told++ % present.size()).rumor().card().name(), WORK, bytes);
+            }
+        });
+    }
+
+    // ---- who is there
+
+    private void tick() {
+        try {
+            roster.tick(now());
+        } finally {  // or no tick would ever come again
+            arm();
+        }
+    }
+
+    private void arm() {
+        long due = roster.dueAt();
+        if (due != armedFor) {
+            if (armed != null) {
+                armed.cancel(false);
+            }
+            armedFor = due;
+            armed = due == Long.MAX_VALUE ? null : loop.schedule(() -> {
+                armedFor = Long.MAX_VALUE;
+                tick();
+            }, Math.max(0, due - now()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private final class RosterOut implements Roster.Out {
+
+        @Override
+        public void send(String to, Word word) {
+            links.send(to, WORD, WordCodec.bytes(word));
+        }
+
+        @Override
+        public void event(Roster.Event event, Rumor of) {
+            changed = true;
+            boolean bad = event == Roster.Event.GONE || event == Roster.Event.SUSPECTED || event == Roster.Event.NAME_TAKEN;
+            String name = event.name().toLowerCase(Locale.ROOT);
+            events.event(bad ? Level.WARN : Level.INFO, "peer_" + name, "gateway " + of.card().name() + " " + name.replace('_', ' ')
+                    + (event == Roster.Event.SUSPECTED || event == Roster.Event.GONE ? ", by " + of.by() : ""), "peer", of.card().name(), "zone", of.card().zone(),
+                    "life", of.card().life(), "incarnation", of.incarnation(), "by", of.by(), "mono_us", now());
+            loop.execute(() -> links.life(roster.card().life()));
+        }
+    }
+
+    private final class Ears implements PeerLinks.Ears {
+
+        @Override
+        public void heard(String from, long life, byte kind, byte[] message) {
+            try {
+                if (kind == WORD) {
+                    roster.heard(now(), from, life, WordCodec.word(message));
+                    arm();
+                } else if (kind == WORK) {
+                    Digest digest = WordCodec.digest(message);
+                    if (digest.name().equals(from)) {
+                        works.accept(digest);
+                    }
+                } else {
+                    refused("peer_later", from, "a message of a kind that this build doesn't know: " + kind);
+                }
+            } catch (WordCodec.LaterVersionException e) {
+                refused("peer_later", from, e.getMessage());
+            } catch (IllegalArgumentException e) {
+                refused("peer_malformed", from, e.getMessage());
+            }
+        }
+
+        /** Once in a while for each gateway and fault. */
+        @Override
+        public void refused(String what, String who, String text) {
+            long now = now() / 1_000;
+            String key = what + " " + who.replaceAll(":\\d+$", "");
+            if (saidAt.size() < TOLD_MOST * 8 && now - saidAt.getOrDefault(key, now - SAID_EVERY_MILLIS) >= SAID_EVERY_MILLIS) {
+                saidAt.put(key, now);
+                events.event(Level.WARN, what, "from " + who + ": " + text, "peer", who);
+            }
+            saidAt.values().removeIf(at -> now - at > SAID_EVERY_MILLIS * 10);
+        }
+    }
+
+    // ---- the status file
+
+    private void write() {
+        if (!changed && ++unchanged < STATUS_ANYWAY) {
+            return;
+        }
+        changed = false;
+        unchanged = 0;
+        Map<String, Object> now = status();
+        try {
+            writer.execute(() -> {
+                try {
+                    status.write(now);
+                } catch (IOException e) {
+                    events.event(Level.ERROR, "status_unwritten", "status file of peers not written: " + e);
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            return;  // it is being closed
+        }
+    }
+
+    private Map<String, Object> status() {
+        long now = now();
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("gateway", gateway.name());
+        all.put("at", Instant.now().toString());
+        all.put("mono_us", now);
+        all.put("zone", gateway.zone());
+        all.put("life", roster.card().life());
+        all.put("build", roster.card().build());
+        all.put("settings", roster.card().settings());
+        all.put("name_taken", roster.nameTaken());
+        all.put("health", roster.health());
+        List<Map<String, Object>> members = new ArrayList<>();
+        for (Roster.Member each : roster.members()) {
+            Map<String, Object> member = new LinkedHashMap<>();
+            Card card = each.rumor().card();
+            member.put("name", card.name());
+            member.put("standing", each.rumor().standing().name().toLowerCase(Locale.ROOT));
+            member.put("since_ms", (now - each.since()) / 1_000);
+            member.put("heard_ms", each.heardAt() == 0 ? null : (now - each.heardAt()) / 1_000);
+            member.put("zone", card.zone());
+            member.put("life", card.life());
+            member.put("by", each.rumor().by());
+            member.put("build", card.build());
+            member.put("settings", card.settings());
+            members.add(member);
+        }
+        all.put("members", members);
+        PeerLinks.Counts counts = links.counts();
+        all.put("counts", new LinkedHashMap<>(Map.of("sent", counts.sent(), "sent_bytes", counts.sentBytes(), "received", counts.received(),
+                "received_bytes", counts.receivedBytes(), "dropped", counts.dropped(), "refused", counts.refused())));
+        return all;
+    }
+
+    /** Says that it ends, then ends. */
+    @Override
+    public void close() {
+        if (!loop.isShuttingDown()) {
+            loop.submit(roster::leave).syncUninterruptibly();
+            try {
+                Thread.sleep(LEAVE_MILLIS);  // the words are on their way; nobody waits for them but this end
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            loop.submit(links::close).syncUninterruptibly();
+            loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+            writer.shutdown();
+        }
+    }
+}
--- a/src/main/java/mastdrift/serve/Secrets.java
+++ b/src/main/java/mastdrift/serve/Secrets.java
@@ -38,6 +38,9 @@
         Set<SecretRef> wanted = new LinkedHashSet<>();
         configuration.pools().values().stream().filter(PoolSettings::radius).forEach(pool -> wanted.add(pool.secret()));
         configuration.radius().forEach(each -> each.clients().stream().map(RadiusSettings.Client::secret).forEach(wanted::add));
+        if (configuration.peers() != null) {
+            wanted.addAll(configuration.peers().keys());
+        }
         List<String> problems = new ArrayList<>();
         for (SecretRef ref : wanted) {
             if (!secrets.containsKey(ref)) {
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -104,6 +104,8 @@
     private final Secrets secrets;
     private Configuration started;
     private ZoneService zones;  // null where what crosses zones is neither counted nor bounded
+    private PeerService peers;  // null where it knows of no other gateway
+    private PeerWork peerWork;
     private GatewaySettings gateway;
     private List<RadiusSettings> listeners = List.of();
     private volatile StatusFile status;
@@ -148,6 +150,7 @@
                 service.rehearse();
             }
             service.listen();
+            service.meet();
             service.watcher.start();
             return service;
         } catch (IllegalArgumentException e) {
@@ -186,6 +189,12 @@
         }
     }
 
+    private void meet() {
+        if (peers != null) {
+            peers.listen();
+        }
+    }
+
     private static void bound(String at, ChannelFuture bound) {
         if (!bound.awaitUninterruptibly().isSuccess()) {
             throw new IllegalArgumentException("no listening on " + at + ": " + bound.cause().getMessage());
@@ -258,6 +267,9 @@
         @Override
         public void configured(Configuration next, Map<String, PoolList> changed, long toldAt) {
             Map<String, Ready> ready = Ready.of(changed);
+            if (gateway == null && next.peers() != null) {
+                peers = new PeerService(file, next, secrets::get, seeds.nextLong(), events);
+            }
             loop.submit(() -> configure(next, ready, toldAt)).syncUninterruptibly();
             Map<String, String> versions = next.versions();
             events.event(Level.INFO, "in_force", "in force: " + next.pools().keySet().stream()
@@ -290,8 +302,16 @@
             listeners = next.radius();
             listeners.forEach(each -> radius.add(radiusFront(next, each)));
             zones(next);
-        } else if (zones != null) {
-            zones.configure(next);
+            if (peers != null) {
+                peerWork = new PeerWork(loop, clock::now, peers, gateway.name());
+            }
+        } else {
+            if (zones != null) {
+                zones.configure(next);
+            }
+            if (peers != null) {
+                peers.configure(next);
+            }
         }
         pools.forEach((name, served) -> {
             if (!served.retired && !next.pools().containsKey(name)) {
@@ -335,6 +355,9 @@
         if (zones != null) {
             pool.zones(zones.pool(settings.name()));
         }
+        if (peerWork != null) {
+            peerWork.of(pool);
+        }
         pool.start(Source.TELLS, List.of());
         if (discovery != null) {
             discovery.watch(true);
@@ -442,6 +465,9 @@
     public void close() {
         watcher.close();
         control.close();
+        if (peers != null) {
+            peers.close();
+        }
         if (zones != null && !loop.isShuttingDown()) {
             loop.submit(zones::write).syncUninterruptibly();
             zones.close();
--- a/src/main/java/mastdrift/standin/StandInClient.java
+++ b/src/main/java/mastdrift/standin/StandInClient.java
@@ -19,12 +19,19 @@
     public record Answer(int status, String body, long micros) { }
 
     private final InetSocketAddress at;
+    private final int waitMillis;
     private Socket socket;
     private InputStream in;
 
     /** Connects when it is first asked to. */
     public StandInClient(InetSocketAddress at) {
+        this(at, WAIT_MILLIS);
+    }
+
+    /** Likewise; waits so long for a connection, and for each read. */
+    public StandInClient(InetSocketAddress at, int waitMillis) {
         this.at = at;
+        this.waitMillis = waitMillis;
     }
 
     /** Asks once, and once more on a new connection where a kept one had been closed before the request was read. */
@@ -49,8 +56,8 @@
             if (socket == null) {
                 socket = new Socket();
                 socket.setTcpNoDelay(true);
-                socket.setSoTimeout(WAIT_MILLIS);
-                socket.connect(at, WAIT_MILLIS);
+                socket.setSoTimeout(waitMillis);
+                socket.connect(at, waitMillis);
                 in = new BufferedInputStream(socket.getInputStream());
             }
             socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
--- a/src/test/java/mastdrift/cli/LabCommandsTest.java
+++ b/src/test/java/mastdrift/cli/LabCommandsTest.java
@@ -17,6 +17,7 @@
 import java.util.jar.JarEntry;
 import java.util.jar.JarOutputStream;
 import mastdrift.lab.ExperimentReader;
+import mastdrift.lab.rig.ChaosPlan;
 import mastdrift.lab.Results;
 import mastdrift.standin.Effects;
 import mastdrift.standin.StandInHost;
@@ -74,7 +75,8 @@
         try (var files = Files.list(Path.of("experiments"))) {
             List<Path> all = files.filter(file -> file.toString().endsWith(".toml")).toList();
             assertTrue(all.size() >= 8);
-            all.forEach(file -> assertEquals(List.of(), ExperimentReader.read(file, null, null).problems(), file.toString()));
+            all.forEach(file -> assertEquals(List.of(), file.getFileName().toString().startsWith("chaos-") ? ChaosPlan.read(file, null).problems()
+                    : ExperimentReader.read(file, null, null).problems(), file.toString()));
         }
     }
 
