--- a/src/main/java/mastdrift/lab/rig/Judge.java
+++ b/src/main/java/mastdrift/lab/rig/Judge.java
@@ -24,6 +24,9 @@
     private static final long AFTER = 6_000_000;  // a gateway that was hit has that long until it is held to anything again
     // A death is known by then: 99% within 5 s among a hundred; few gateways, and a machine that is shared, may take longer.
     private static final long DEATH_MOST = 15_000_000;
+    private static final long AGREED_AFTER = 15_000_000;
+    private static final Set<String> AWAY = Set.of("peer_suspected", "peer_gone", "peer_left");
+    private static final Set<String> THERE = Set.of("peer_joined", "peer_restarted", "peer_refuted", "peer_returned");
 
     private final History history;
     private final List<Fault> faults;
@@ -55,6 +58,7 @@
         answers(lines);
         processes(lines);
         deaths(lines);
+        views(lines);
         return broken.values().stream().sorted((a, b) -> Long.compare(a.first.at(), b.first.at())).toList();
     }
 
@@ -132,6 +136,30 @@
         }
     }
 
+    /** A while after the last fault everybody takes everybody for there who is. */
+    private void views(List<Line> lines) {
+        Map<String, Line> last = new HashMap<>();
+        for (Line line : lines) {
+            if ((THERE.contains(line.what()) || AWAY.contains(line.what())) && names.contains(line.text("peer"))) {
+                last.put(line.who() + " " + line.text("peer"), line);
+            } else if (line.what().equals("started")) {
+                last.keySet().removeIf(pair -> pair.startsWith(line.who() + " "));  // it begins knowing nobody
+            }
+        }
+        long end = lines.isEmpty() ? 0 : lines.get(lines.size() - 1).at();
+        if (faults.stream().anyMatch(fault -> fault.touches(end - servesAt, end - servesAt, AGREED_AFTER))) {
+            return;
+        }
+        for (String one : names) {
+            for (String other : names) {
+                Line seen = last.get(one + " " + other);
+                if (!one.equals(other) && (seen == null || !THERE.contains(seen.what()))) {
+                    breaks("all see all in the end", seen != null ? seen : new Line(end, one, "never_heard", Map.of("peer", other)));
+                }
+            }
+        }
+    }
+
     /** Whether a process was hit, or had been a moment ago. */
     private boolean hit(int gateway, long from, long until) {
         for (Fault fault : faults) {
--- /dev/null
+++ b/src/main/java/mastdrift/measure/RosterMeasurement.java
@@ -0,0 +1,72 @@
+package mastdrift.measure;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import mastdrift.lab.model.PeerFault;
+import mastdrift.lab.model.PeerFault.Kind;
+import mastdrift.lab.model.PeerRun;
+import mastdrift.lab.model.PeerWorld;
+import mastdrift.lab.model.PeerWorld.Plan;
+import mastdrift.peers.Card;
+import mastdrift.peers.RosterSettings;
+import mastdrift.peers.Rumor;
+import mastdrift.peers.Standing;
+import mastdrift.peers.Word;
+import mastdrift.peers.edge.WordCodec;
+
+/** What membership costs and how soon it knows, among 100 and 1,000 gateways, by the model. Words: seeds of each figure (3). */
+public final class RosterMeasurement {
+
+    private static final long SECOND = 1_000_000;
+    private static final int FRAME = 4 + 2 + 16;  // length, type and kind, signature
+
+    private RosterMeasurement() { }
+
+    private static PeerRun play(int gateways, long seconds, long spread, long seed, PeerFault... faults) {
+        return PeerWorld.play(new Plan(gateways, seconds * SECOND, 1_000, List.of(faults), RosterSettings.USUAL, spread, false), seed);
+    }
+
+    /** Prints lines of a table. */
+    public static void main(String[] args) {
+        int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 3;
+        Rumor rumor = new Rumor(new Card("gateway-bilbao-17", 1_767_225_600_000_000L, "bilbao", "0.1.0", "0123456789ab"), 3, Standing.ALIVE, "gateway-bilbao-17");
+        double empty = WordCodec.bytes(new Word.Ping(1_000_000, List.of())).length + FRAME;
+        double each = WordCodec.bytes(new Word.Ping(1_000_000, List.of(rumor))).length + FRAME - empty;
+        for (int gateways : new int[] {100, 1_000}) {
+            for (long seed = 1; seed <= seeds; seed++) {
+                PeerRun begin = play(gateways, 30, 2 * SECOND, seed);
+                long began = System.nanoTime();
+                PeerRun run = play(gateways, 60, 2 * SECOND, seed);
+                double micros = (System.nanoTime() - began) / 1e3;
+                double words = (run.words() - begin.words()) / 30.0 / gateways;
+                double rumors = (run.rumors() - begin.rumors()) / 30.0 / gateways;
+                System.out.printf(Locale.ROOT, "%d gateways, seed %d: %.1f words a second each, %.0f bytes a second each, %.0f us of the model's time a second each%n", gateways, seed,
+                        words, words * empty + rumors * each, micros / 60 / gateways);
+            }
+            deaths(gateways, seeds);
+        }
+        for (long seed = 1; seed <= seeds; seed++) {
+            List<PeerFault> faults = new ArrayList<>(List.of(new PeerFault(Kind.LOSS, 0, 3_600 * SECOND, 0, -1, 0.05)));
+            for (int i = 0; i < 10; i++) {
+                faults.add(new PeerFault(Kind.STARVE, 10 * SECOND, 3_600 * SECOND, i * 10, -1, 0.1));
+            }
+            System.out.printf("100 gateways, an hour with 5%% loss, ten starved to a tenth, seed %d: %d false deaths%n", seed,
+                    play(100, 3_600, 2 * SECOND, seed, faults.toArray(new PeerFault[0])).falseDeaths());
+        }
+        for (int seconds = 2; seconds <= 32; seconds *= 2) {
+            System.out.printf("200 starts at once: after %d s %d views are not whole%n", seconds, play(200, seconds, 0, 1).apart().size());
+        }
+    }
+
+    private static void deaths(int gateways, int seeds) {
+        List<Long> known = new ArrayList<>();
+        for (long seed = 1; seed <= 4L * seeds; seed++) {
+            known.addAll(play(gateways, 40, 2 * SECOND, seed, new PeerFault(Kind.KILL, 10 * SECOND, 35 * SECOND, 3, -1, 0)).deaths());
+        }
+        double[] sorted = known.stream().mapToDouble(at -> at < 0 ? Double.POSITIVE_INFINITY : at / 1e6).sorted().toArray();
+        System.out.printf(Locale.ROOT, "%d gateways, a death, %d seeds: known by half within %.2f s, by 99%% within %.2f s, by all within %.2f s%n", gateways, 4 * seeds,
+                sorted[sorted.length / 2], sorted[sorted.length * 99 / 100], Arrays.stream(sorted).max().orElse(0));
+    }
+}
--- a/src/test/java/mastdrift/lab/rig/ChaosTest.java
+++ b/src/test/java/mastdrift/lab/rig/ChaosTest.java
@@ -36,4 +36,23 @@
                 new Fault(Kind.FREEZE, 5 * SECOND, 5_800_000, List.of(2), 0));
         assertTrue(said(outcome, "g0", "peer_joined", "g3") && said(outcome, "g0", "peer_gone", "g3") && said(outcome, "g1", "peer_gone", "g3"));
     }
+
+    /** Cut in two, then one that only the first two hear, then a bridge, with a link that flaps each second; at the end all see all. */
+    @Test
+    void partsThatWereCutApartMeetAgain() throws Exception {
+        Chaos.Outcome outcome = play(5, 38, new Fault(Kind.CUT, 1 * SECOND, 7 * SECOND, List.of(0, 1), 0),
+                new Fault(Kind.ONE_WAY, 8 * SECOND, 11 * SECOND, List.of(4), 0), new Fault(Kind.BRIDGE, 12 * SECOND, 18 * SECOND, List.of(2, 0, 1, 3, 4), 0),
+                new Fault(Kind.RESET, 8 * SECOND, 9 * SECOND, List.of(3), 0), new Fault(Kind.RESET, 10 * SECOND, 11 * SECOND, List.of(3), 0),
+                new Fault(Kind.SPOIL, 11 * SECOND, 14 * SECOND, List.of(), 0.2), new Fault(Kind.LOSS, 18 * SECOND, 20 * SECOND, List.of(), 0.3));
+        assertTrue(said(outcome, "g0", "peer_gone", "g4") && said(outcome, "g0", "peer_returned", "g4"), "each half gave the other up, and met it again");
+    }
+
+    /** All killed at once and started in turns, one with its folder lost, one with an old one; then each told to end, one after the other. */
+    @Test
+    void allAreKilledAndThenAllAreRestarted() throws Exception {
+        Chaos.Outcome outcome = play(3, 36, new Fault(Kind.KILL, 2 * SECOND, 4 * SECOND, List.of(2), 0), new Fault(Kind.KILL_LOSE, 2 * SECOND, 5 * SECOND, List.of(0), 0),
+                new Fault(Kind.KILL_OLD, 2 * SECOND, 3 * SECOND, List.of(1), 0), new Fault(Kind.RESTART, 10 * SECOND, 13 * SECOND, List.of(0), 0),
+                new Fault(Kind.RESTART, 13_500_000, 16 * SECOND, List.of(1), 0), new Fault(Kind.RESTART, 16_500_000, 19 * SECOND, List.of(2), 0));
+        assertTrue(said(outcome, "g2", "peer_left", "g0") && said(outcome, "g2", "peer_left", "g1"), "each said that it ends");
+    }
 }
--- /dev/null
+++ b/src/test/java/mastdrift/lab/rig/JudgeTest.java
@@ -0,0 +1,103 @@
+package mastdrift.lab.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Consumer;
+import mastdrift.lab.rig.Fault.Kind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Each checker catches what it is for: histories as a gateway with one fault would leave them. */
+class JudgeTest {
+
+    private static final long SECOND = 1_000_000;
+    private static final List<String> NAMES = List.of("g0", "g1", "g2");
+
+    private static List<String> broken(List<Fault> faults, Consumer<History> more) {
+        History history = new History();
+        for (String one : NAMES) {
+            for (String other : NAMES) {
+                if (!one.equals(other)) {
+                    history.add(100, one, "peer_joined", "peer", other, "by", other);
+                }
+            }
+        }
+        more.accept(history);
+        history.add(60 * SECOND, "rig", "end");
+        return new Judge(history, faults, NAMES, SECOND, 10 * SECOND).judge().stream().map(Judge.Broken::law).sorted().toList();
+    }
+
+    private static void asked(History history, long at, int gateway, int status, String body, long micros) {
+        history.add(at, "client", "asked", "id", "id-1", "gateway", gateway, "key", "", "status", status, "body", body, "micros", micros);
+    }
+
+    private static void ran(History history, long at, String group) {
+        history.add(at, "host", "ran", "key", "k", "group", group, "id", "x");
+    }
+
+    @Test
+    void effects() {
+        assertEquals(List.of("no effect happens twice"), broken(List.of(), history -> {
+            ran(history, 2 * SECOND, "a");
+            ran(history, 3 * SECOND, "b");
+        }));
+        assertEquals(List.of("no effect happens twice"), broken(List.of(), history -> {
+            ran(history, 2 * SECOND, "a");
+            ran(history, 13 * SECOND, "a");
+        }));
+        assertEquals(List.of(), broken(List.of(), history -> {
+            ran(history, 2 * SECOND, "a");
+            ran(history, 3 * SECOND, "a");
+        }));
+    }
+
+    /** What a gateway that is well owes; one that is stopped then owes nothing. */
+    @Test
+    void answers() {
+        List<Fault> stopped = List.of(new Fault(Kind.FREEZE, 4 * SECOND, 5 * SECOND, List.of(1), 0));
+        assertEquals(List.of("each request gets one final answer"), broken(List.of(), history -> asked(history, 5 * SECOND, 1, 0, "", 100)));
+        assertEquals(List.of("a final answer comes in time"), broken(List.of(), history -> asked(history, 5 * SECOND, 1, 503, "", 2_500_000)));
+        assertEquals(List.of("an answer is of its own request"), broken(List.of(), history -> asked(history, 5 * SECOND, 1, 200, "h0 id-2", 100)));
+        assertEquals(List.of("each request gets one final answer"), broken(stopped, history -> asked(history, 5 * SECOND, 0, 0, "", 100)));
+        assertEquals(List.of(), broken(stopped, history -> asked(history, 5 * SECOND, 1, 0, "", 100)));
+        assertEquals(List.of(), broken(List.of(), history -> asked(history, 5 * SECOND, 1, 200, "h0 id-1", 100)));
+    }
+
+    @Test
+    void processesAndViews() {
+        assertEquals(List.of("no gateway crashes"), broken(List.of(), history -> history.add(5 * SECOND, "g1", "crashed", "status", 1)));
+        assertEquals(List.of("all see all in the end", "nobody well is called gone"), broken(List.of(),
+                history -> history.add(9 * SECOND, "g1", "peer_gone", "peer", "g2", "by", "g1")));
+        assertEquals(List.of("all see all in the end"), broken(List.of(), history -> history.add(5 * SECOND, "g1", "peer_suspected", "peer", "g2", "by", "g1")));
+        List<Fault> killed = List.of(new Fault(Kind.KILL, 4 * SECOND, 50 * SECOND, List.of(2), 0));
+        assertEquals(List.of("a death is known"), broken(killed, history -> history.add(9 * SECOND, "g0", "peer_gone", "peer", "g2", "by", "g0")));
+        assertEquals(List.of(), broken(killed, history -> {
+            history.add(9 * SECOND, "g0", "peer_gone", "peer", "g2", "by", "g0");
+            history.add(9 * SECOND, "g1", "peer_gone", "peer", "g2", "by", "g0");
+        }));
+    }
+
+    /** A plan that is written down is the same when it is read. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void aPlanIsPlayedAgainAsItWas(long seed, @TempDir Path folder) throws IOException {
+        Path file = folder.resolve("plan.toml");
+        Files.writeString(file, "gateways = 5\nseconds = 40\ndrawn = 12\nseed = " + seed + "\n");
+        ChaosPlan plan = ChaosPlan.read(file, null).plan();
+        assertTrue(plan.faults().size() >= 8);
+        Files.writeString(file, plan.toml());
+        ChaosPlan again = ChaosPlan.read(file, null).plan();
+        assertEquals(plan.toml(), again.toml());
+        assertEquals(plan.faults().size(), again.faults().size());
+        Files.writeString(file, "gateways = 12\nsecond = 3\n[[fault]]\nkind = \"cutt\"\nfrom = \"1s\"\n");
+        List<String> problems = ChaosPlan.read(file, null).problems();
+        assertTrue(problems.size() >= 4 && problems.toString().contains("did you mean seconds?"), problems.toString());
+    }
+}
