A stop closes its listener only once nobody waits to be accepted

Cause: ClientSide.stop closed the server channel 0.5 s after SIGTERM, whoever waited in its queue of accepted connections; closing resets them. By the platform's rules they have been taken. A gateway that keeps up has nobody there; one that is starved takes 16 a turn.

Checked: by a held loop and 40 connections that came meanwhile, all of them reset before (LatenessTest.whoWaitsToBeAcceptedAtAStopIsAnswered).

Change: the listener closes in a turn whose wait found nobody there, and when all is answered anyway at the latest.

--- /dev/null
+++ b/src/main/java/mastdrift/agreed/AgreedLog.java
@@ -0,0 +1,34 @@
+package mastdrift.agreed;
+
+import java.util.function.Consumer;
+
+/** A log that gateways agree on: whoever reads it reads the same decisions in the same order, each once. Answers come when they come, also out of turn, and never if the process ends first. */
+public interface AgreedLog {
+
+    /** Bytes of a decision, at most. */
+    int DECISION_MOST = 64 << 10;
+    /** Characters of a decision's id. */
+    int ID_MOST = 128;
+
+    /** What became of an append. */
+    sealed interface Fate {
+
+        /** It is in, for good, at that place. */
+        record In(long index) implements Fate { }
+
+        /** It isn't in, and never will be under this id. */
+        record Out(String why) implements Fate { }
+
+        /** It may be in, or may yet come in: ask again under the same id, or have it {@linkplain AgreedLog#settle settled}. */
+        record Unknown(String why) implements Fate { }
+    }
+
+    /** A decision as it is read. */
+    record Decision(long index, String id, byte[] command) { }
+
+    /** Appends a decision. The same id appended again is in once, at its first place. Larger ones than {@link #DECISION_MOST} are out. */
+    void append(String id, byte[] command, Consumer<Fate> then);
+
+    /** Makes sure: an id that is not in yet can't come in any more. {@link Fate.In} where it was in before. */
+    void settle(String id, Consumer<Fate> then);
+}
--- /dev/null
+++ b/src/main/java/mastdrift/agreed/edge/PeerRpc.java
@@ -0,0 +1,116 @@
+package mastdrift.agreed.edge;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.concurrent.ExecutionException;
+import org.apache.ratis.proto.RaftProtos.AppendEntriesReplyProto;
+import org.apache.ratis.proto.RaftProtos.AppendEntriesRequestProto;
+import org.apache.ratis.proto.RaftProtos.InstallSnapshotReplyProto;
+import org.apache.ratis.proto.RaftProtos.InstallSnapshotRequestProto;
+import org.apache.ratis.proto.RaftProtos.RaftRpcRequestProto;
+import org.apache.ratis.proto.RaftProtos.RequestVoteReplyProto;
+import org.apache.ratis.proto.RaftProtos.RequestVoteRequestProto;
+import org.apache.ratis.proto.RaftProtos.StartLeaderElectionReplyProto;
+import org.apache.ratis.proto.RaftProtos.StartLeaderElectionRequestProto;
+import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.rpc.RpcType;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.RaftServerRpc;
+
+/** What the Raft library says to other members, as questions over the links. A member's id is its gateway's name and its folder's identity. */
+final class PeerRpc implements RaftServerRpc {
+
+    static final byte VOTE = 1;
+    static final byte APPEND = 2;
+    static final byte INSTALL = 3;
+    static final byte ELECT = 4;
+    private static final char BETWEEN = '/';
+    private static final long MILLIS = 1_000;
+
+    private final Calls calls;
+
+    PeerRpc(Calls calls) {
+        this.calls = calls;
+    }
+
+    static String id(String gateway, String folder) {
+        return gateway + BETWEEN + folder;
+    }
+
+    static String gateway(RaftPeerId id) {
+        String text = id.toString();
+        return text.substring(0, Math.max(0, text.indexOf(BETWEEN)));
+    }
+
+    /** The other side: a question of another member's library; null where it is of another kind. */
+    static byte[] serve(RaftServer server, byte kind, byte[] question) throws IOException {
+        return switch (kind) {
+            case VOTE -> server.requestVote(RequestVoteRequestProto.parseFrom(question)).toByteArray();
+            case APPEND -> server.appendEntries(AppendEntriesRequestProto.parseFrom(question)).toByteArray();
+            case INSTALL -> server.installSnapshot(InstallSnapshotRequestProto.parseFrom(question)).toByteArray();
+            case ELECT -> server.startLeaderElection(StartLeaderElectionRequestProto.parseFrom(question)).toByteArray();
+            default -> null;
+        };
+    }
+
+    private byte[] ask(RaftRpcRequestProto to, byte kind, byte[] question) throws IOException {
+        try {
+            return calls.ask(gateway(RaftPeerId.valueOf(to.getReplyId())), kind, question, MILLIS).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    @Override
+    public RequestVoteReplyProto requestVote(RequestVoteRequestProto request) throws IOException {
+        return RequestVoteReplyProto.parseFrom(ask(request.getServerRequest(), VOTE, request.toByteArray()));
+    }
+
+    @Override
+    public AppendEntriesReplyProto appendEntries(AppendEntriesRequestProto request) throws IOException {
+        return AppendEntriesReplyProto.parseFrom(ask(request.getServerRequest(), APPEND, request.toByteArray()));
+    }
+
+    @Override
+    public InstallSnapshotReplyProto installSnapshot(InstallSnapshotRequestProto request) throws IOException {
+        return InstallSnapshotReplyProto.parseFrom(ask(request.getServerRequest(), INSTALL, request.toByteArray()));
+    }
+
+    @Override
+    public StartLeaderElectionReplyProto startLeaderElection(StartLeaderElectionRequestProto request) throws IOException {
+        return StartLeaderElectionReplyProto.parseFrom(ask(request.getServerRequest(), ELECT, request.toByteArray()));
+    }
+
+    /** The links are there before the library is. */
+    @Override
+    public void start() { }
+
+    /** It listens on nothing of its own. */
+    @Override
+    public InetSocketAddress getInetSocketAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    /** Links are found by the gateway's name. */
+    @Override
+    public void addRaftPeers(Collection<RaftPeer> peers) { }
+
+    /** A question that fails is asked again by who asked it. */
+    @Override
+    public void handleException(RaftPeerId server, Exception fault, boolean reconnect) { }
+
+    @Override
+    public RpcType getRpcType() {
+        return new PeerRpcType();
+    }
+
+    @Override
+    public void close() { }
+}
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -94,6 +94,7 @@
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
     private Channel server;
     private boolean queueSeen = true;  // to its end, by the last look at the system's queue of new connections
+    private long acceptedIn;  // the last turn that found somebody there
     private long queuedSince;  // the earliest moment at which what is taken from it now may have come
     private boolean stopping;
     private boolean closing;
@@ -166,7 +167,7 @@
         stopping = true;
         answerBy = ledger.now() + STOP_ANSWERED
                 + Math.min(longest, classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0));
-        loop.schedule(() -> server.close(), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> closeServer(ledger.turn()), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             closing = true;
             closeIdle();
@@ -179,6 +180,17 @@
         loop.schedule(this::sayWaiting, answered + STOP_SAID, TimeUnit.MICROSECONDS);
     }
 
+    /** Who waits in the system's queue of new connections has been taken, and closing the listener would reset them: only once the wait of a turn behind
+        {@code since} has found nobody there, or when all is answered anyway. */
+    private void closeServer(long since) {
+        boolean empty = ledger.turn() > since && acceptedIn < ledger.turn() && queueSeen && server.config().isAutoRead();
+        if (empty || ledger.turn() == 0 || ledger.now() >= answerBy) {
+            server.close();
+        } else {
+            loop.schedule(() -> closeServer(since), 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void sayWaiting() {
         if (connections.size() > 0) {
             StringJoiner phases = new StringJoiner(", ");
@@ -210,6 +222,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object child) {
+            acceptedIn = ledger.turn();
             if (accepted++ == 0 && queueSeen) {
                 queuedSince = ledger.arrived();
             }
--- /dev/null
+++ b/src/main/java/mastdrift/serve/AgreedService.java
@@ -0,0 +1,176 @@
+package mastdrift.serve;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import mastdrift.agreed.AgreedLog.Decision;
+import mastdrift.agreed.AgreedLog.Fate;
+import mastdrift.agreed.Voters;
+import mastdrift.agreed.edge.RaftLog;
+import mastdrift.config.AgreedSettings;
+import mastdrift.config.Configuration;
+import mastdrift.events.Events;
+import mastdrift.events.Events.Level;
+import mastdrift.peers.Roster;
+import mastdrift.peers.Standing;
+
+/** The agreed log in a gateway from files, and its first use: the roll, a word of each gateway now and then, by which everybody knows that the log works and who was there when. No request waits for it; without it nothing but
+    the roll is missing. */
+final class AgreedService implements AutoCloseable {
+
+    private static final String ROLL = "roll ";
+    private static final long SAID_MILLIS = 100;
+    private static final int SAID_MOST = 64;
+
+    private final AgreedSettings settings;
+    private final String name;
+    private final PeerService peers;
+    private final Events events;
+    private final RaftLog log;
+    private final ScheduledThreadPoolExecutor timer;
+    private final Map<String, Long> rolls = new HashMap<>();  // the index of each gateway's last word
+    private final List<Decision> unsaid = new ArrayList<>();
+    private String survives = "";
+    private long number;
+
+    AgreedService(Path file, Configuration configuration, PeerService peers, Events events) {
+        settings = configuration.agreed();
+        name = configuration.gateway().name();
+        this.peers = peers;
+        this.events = events;
+        timer = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "agreed-roll");
+            thread.setDaemon(true);
+            return thread;
+        });
+        log = new RaftLog(new RaftLog.Settings(name, configuration.peers().installation(), settings.begin(), settings.voters(),
+                file.toAbsolutePath().resolveSibling(settings.folder()), settings.replaceAfter()), peers.wires(), this::read, this::candidates,
+                (bad, what, text, fields) -> event(bad ? Level.WARN : Level.INFO, what, text, fields));
+        peers.log(this::status);
+        long every = settings.rollEvery();
+        timer.scheduleWithFixedDelay(() -> roll(configuration.gateway().zone()), every, every, TimeUnit.MICROSECONDS);
+    }
+
+    private void event(Level level, String what, String text, Object... fields) {
+        Object[] all = new Object[fields.length + 2];
+        System.arraycopy(fields, 0, all, 0, fields.length);
+        all[fields.length] = "mono_us";
+        all[fields.length + 1] = System.nanoTime() / 1_000;
+        events.event(level, what, text, all);
+    }
+
+    private List<Voters.Candidate> candidates() {
+        long now = System.nanoTime() / 1_000;
+        List<Voters.Candidate> all = new ArrayList<>(List.of(new Voters.Candidate(name, zone(name), 0)));
+        for (Roster.Member each : peers.seen()) {
+            boolean there = each.rumor().standing() == Standing.ALIVE || each.rumor().standing() == Standing.SUSPECTED;
+            all.add(new Voters.Candidate(each.rumor().card().name(), each.rumor().card().zone(), there ? 0 : Math.max(1, now - each.since())));
+        }
+        return all;
+    }
+
+    private String zone(String gateway) {
+        return peers.seen().stream().filter(each -> each.rumor().card().name().equals(gateway)).map(each -> each.rumor().card().zone()).findFirst().orElse(peers.zone());
+    }
+
+    private void roll(String zone) {
+        String id = ROLL + name + " " + peers.life() + " " + ++number;
+        byte[] command;
+        try {
+            command = JSON.std.asBytes(new LinkedHashMap<>(Map.of("gateway", name, "zone", zone, "life", peers.life())));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);  // of bytes in memory
+        }
+        log.append(id, command, fate -> appended(id, fate));
+        saySurvival();
+    }
+
+    private void appended(String id, Fate fate) {
+        if (fate instanceof Fate.In in) {
+            event(Level.INFO, "agreed_in", "in the agreed log: " + id, "id", id, "index", in.index());
+        } else if (fate instanceof Fate.Out out) {
+            event(Level.WARN, "agreed_out", "not in the agreed log: " + id + ": " + out.why(), "id", id);
+        } else if (fate instanceof Fate.Unknown unknown) {
+            event(Level.WARN, "agreed_unknown", "not known to be in the agreed log: " + id + ": " + unknown.why(), "id", id);
+        }
+    }
+
+    private void read(Decision decision) {
+        synchronized (rolls) {
+            if (decision.id().startsWith(ROLL)) {
+                rolls.put(decision.id().split(" ")[1], decision.index());
+            }
+            unsaid.add(decision);
+            if (unsaid.size() > 1) {
+                return;
+            }
+        }
+        try {
+            timer.schedule(this::sayRead, SAID_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            return;  // it is being closed
+        }
+    }
+
+    /** Many at once where there are many: a log of events has room for some a second. */
+    private void sayRead() {
+        List<Decision> all;
+        synchronized (rolls) {
+            all = List.copyOf(unsaid);
+            unsaid.clear();
+        }
+        for (int i = 0; i < all.size(); i += SAID_MOST) {
+            List<Decision> some = all.subList(i, Math.min(all.size(), i + SAID_MOST));
+            event(Level.INFO, "agreed_read", "the agreed log has " + some.size() + " more decisions, up to " + some.get(some.size() - 1).index(), "ids",
+                    some.stream().map(each -> each.index() + "=" + each.id()).collect(Collectors.joining(";")));
+        }
+    }
+
+    /** Once, and again when it changes. */
+    private void saySurvival() {
+        Map<String, String> zones = new HashMap<>();
+        log.status().group().keySet().forEach(voter -> zones.put(voter, zone(voter)));
+        if (zones.isEmpty()) {
+            return;
+        }
+        Voters.Survives now = Voters.survives(zones);
+        String text = "voters " + new TreeSet<>(zones.keySet()) + " survive the loss of " + now.gateways() + (now.gateways() == 1 ? " gateway" : " gateways") + ", and of a zone: "
+                + (now.aZone() ? "yes" : "no");
+        if (!text.equals(survives)) {
+            survives = text;
+            event(Level.INFO, "agreed_survives", text, "gateways", now.gateways(), "zone", now.aZone());
+        }
+    }
+
+    private Map<String, Object> status() {
+        RaftLog.Status now = log.status();
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("part", now.part());
+        all.put("why", now.why());
+        all.put("leader", now.leader());
+        all.put("term", now.term());
+        all.put("last", now.last());
+        all.put("voters", new TreeSet<>(now.group().keySet()));
+        synchronized (rolls) {
+            all.put("rolls", new LinkedHashMap<>(rolls));
+        }
+        return all;
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        log.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/mastdrift/agreed/edge/RaftLogTest.java
@@ -0,0 +1,263 @@
+package mastdrift.agreed.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import mastdrift.agreed.AgreedLog;
+import mastdrift.agreed.AgreedLog.Decision;
+import mastdrift.agreed.AgreedLog.Fate;
+import mastdrift.agreed.Voters;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The agreed log on the Raft library, several members in one process: what is in stays in, each once, and folders that can't be trusted take no part. */
+class RaftLogTest {
+
+    private static final int WAIT_SECONDS = 40;
+
+    @TempDir
+    private Path folder;
+
+    private final Map<String, BiConsumer<String, byte[]>> ears = new ConcurrentHashMap<>();
+    private final Set<String> cut = ConcurrentHashMap.newKeySet();
+    private final Map<String, Member> members = new ConcurrentHashMap<>();
+    private final ExecutorService network = Executors.newSingleThreadExecutor();
+    private long longAway = 3_600_000_000L;
+
+    private final class Member {
+        private final String name;
+        private final List<Decision> read = new CopyOnWriteArrayList<>();
+        private final List<String> said = new CopyOnWriteArrayList<>();
+        private final RaftLog log;
+
+        Member(String name, String begin, List<String> voters) {
+            this.name = name;
+            log = new RaftLog(new RaftLog.Settings(name, "test", begin, voters, folder.resolve(name), longAway), new Wires() {
+                @Override
+                public void send(String gateway, byte[] message) {
+                    network.execute(() -> {
+                        BiConsumer<String, byte[]> to = ears.get(gateway);
+                        if (to != null && !cut.contains(name) && !cut.contains(gateway)) {
+                            to.accept(name, message);
+                        }
+                    });
+                }
+
+                @Override
+                public void ears(BiConsumer<String, byte[]> heard) {
+                    ears.put(name, heard);
+                }
+            }, read::add, () -> members.keySet().stream().map(each -> new Voters.Candidate(each, "z", ears.containsKey(each) && !cut.contains(each) ? 0 : longAway)).toList(),
+                    (bad, what, text, fields) -> said.add(what + " " + text));
+            members.put(name, this);
+        }
+
+        Fate append(String id) throws Exception {
+            CompletableFuture<Fate> fate = new CompletableFuture<>();
+            log.append(id, ("of " + id).getBytes(), fate::complete);
+            return fate.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        /** Until it is known to be in. */
+        long in(String id) throws Exception {
+            for (int tries = 0; tries < 8; tries++) {
+                if (append(id) instanceof Fate.In in) {
+                    return in.index();
+                }
+            }
+            throw new AssertionError(name + ": " + id + " is not in; " + log.status() + " " + said);
+        }
+
+        List<String> ids() {
+            return read.stream().map(Decision::id).toList();
+        }
+
+        void kill() {
+            ears.remove(name);
+            log.close();
+        }
+    }
+
+    private void start(String begin, List<String> voters, String... names) {
+        for (String name : names) {
+            new Member(name, begin, voters);
+        }
+    }
+
+    private void await(BooleanSupplier holds, String what) throws InterruptedException {
+        for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS); !holds.getAsBoolean(); Thread.sleep(20)) {
+            assertTrue(System.nanoTime() < until, () -> what + "; " + members.values().stream().map(each -> each.name + " " + each.log.status() + " " + each.ids().size() + " "
+                    + each.said).toList());
+        }
+    }
+
+    private void awaitAll(List<String> ids, String... names) throws InterruptedException {
+        for (String name : names) {
+            await(() -> new HashSet<>(members.get(name).ids()).containsAll(ids), name + " reads all of " + ids.size());
+            assertEquals(members.get(names[0]).ids().subList(0, ids.size()), members.get(name).ids().subList(0, ids.size()), "in one order");
+            assertEquals(new HashSet<>(members.get(name).ids()).size(), members.get(name).ids().size(), "each once");
+        }
+    }
+
+    private void delete(String name) throws IOException {
+        try (Stream<Path> paths = Files.walk(folder.resolve(name))) {
+            for (Path each : paths.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(each);
+            }
+        }
+    }
+
+    private void copy(String from, String to) throws IOException {
+        try (Stream<Path> paths = Files.walk(folder.resolve(from))) {
+            for (Path each : paths.toList()) {
+                Path at = folder.resolve(to).resolve(folder.resolve(from).relativize(each));
+                if (Files.isDirectory(each)) {
+                    Files.createDirectories(at);
+                } else if (!each.endsWith("in_use.lock")) {
+                    Files.copy(each, at);
+                }
+            }
+        }
+    }
+
+    @AfterEach
+    void close() {
+        members.values().forEach(each -> each.log.close());
+        network.shutdownNow();
+    }
+
+    /** Three voters and one who follows; the leader ends in the middle and starts again with its folder. */
+    @Test
+    void whatIsInIsReadByAllInOneOrderAndOnce() throws Exception {
+        List<String> voters = List.of("a", "b", "c");
+        start("one", voters, "a", "b", "c", "d");
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            String id = "first-" + i;
+            members.get(List.of("a", "b", "c", "d").get(i % 4)).in(id);
+            ids.add(id);
+        }
+        awaitAll(ids, "a", "b", "c", "d");
+        long index = members.get("a").in("first-3");
+        assertEquals(index, members.get("d").in("first-3"), "the same id again is where it was");
+        assertInstanceOf(Fate.Out.class, settle("b", "never"));
+        assertInstanceOf(Fate.Out.class, members.get("c").append("never"), "and can't come in any more");
+        assertInstanceOf(Fate.In.class, settle("b", "first-3"));
+        assertInstanceOf(Fate.Out.class, large("a"));
+
+        String leader = members.get("a").log.status().leader();
+        members.get(leader).kill();
+        Member other = members.get(voters.stream().filter(each -> !each.equals(leader)).findFirst().orElseThrow());
+        for (int i = 0; i < 4; i++) {
+            other.in("second-" + i);
+            ids.add("second-" + i);
+        }
+        new Member(leader, "one", voters);
+        awaitAll(ids, "a", "b", "c", "d");
+
+        for (String each : voters) {  // a majority is away: nothing is known, and nothing is lost
+            if (!each.equals(other.name)) {
+                cut.add(each);
+            }
+        }
+        assertInstanceOf(Fate.Unknown.class, other.append("third"));
+        cut.clear();
+        ids.add("third");
+        assertEquals(other.in("third"), members.get("d").in("third"));
+        awaitAll(ids, "a", "b", "c", "d");
+    }
+
+    private Fate settle(String at, String id) throws Exception {
+        CompletableFuture<Fate> fate = new CompletableFuture<>();
+        members.get(at).log.settle(id, fate::complete);
+        return fate.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private Fate large(String at) throws Exception {
+        CompletableFuture<Fate> fate = new CompletableFuture<>();
+        members.get(at).log.append("large", new byte[AgreedLog.DECISION_MOST + 1], fate::complete);
+        return fate.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** A folder that is lost comes back under another identity; an older copy, and one with spoilt bytes, take no part. */
+    @Test
+    void aLostFolderJoinsAnewAndAnOlderOneStepsAside() throws Exception {
+        List<String> voters = List.of("a", "b", "c");
+        start("one", voters, "a", "b", "c");
+        members.get("a").in("one");
+        members.get("c").kill();
+        copy("c", "c-then");
+        new Member("c", "one", voters);
+        await(() -> members.get("c").log.status().part().equals("voter"), "c is back");
+        await(() -> members.get("c").ids().contains("one"), "c reads");
+        Thread.sleep(6_000);  // a tide, by which an older copy is told from it
+        members.get("c").kill();
+        delete("c");
+        copy("c-then", "c");
+        new Member("c", "one", voters);
+        await(() -> members.get("c").log.status().part().equals("aside"), "an older copy takes no part");
+        assertTrue(members.get("c").log.status().why().contains("older copy"), members.get("c").log.status().why());
+
+        members.get("c").kill();
+        delete("c");
+        new Member("c", "one", voters);
+        await(() -> members.get("c").log.status().part().equals("voter"), "one that was lost joins anew");
+        members.get("c").in("two");
+        awaitAll(List.of("one", "two"), "a", "b", "c");
+
+        members.get("b").kill();
+        Files.write(folder.resolve("b").resolve("member.json"), new byte[] {1, 2, 3});
+        new Member("b", "one", voters);
+        await(() -> members.get("b").log.status().part().equals("aside"), "spoilt bytes");
+        members.get("a").in("three");
+    }
+
+    /** Two of three folders are lost: no past is invented, until the operator has a new word for it. A voter that is away for long is replaced. */
+    @Test
+    void aLostMajorityInventsNoPast() throws Exception {
+        List<String> voters = List.of("a", "b", "c");
+        start("one", voters, "a", "b", "c");
+        members.get("a").in("one");
+        for (String each : voters) {
+            members.get(each).kill();
+        }
+        delete("b");
+        delete("c");
+        start("one", voters, "a", "b", "c");
+        await(() -> members.get("b").log.status().part().equals("aside") && members.get("c").log.status().part().equals("aside"), "both step aside");
+        assertTrue(members.get("b").log.status().why().contains("operator's new word"));
+        for (String each : voters) {
+            members.get(each).kill();
+        }
+        longAway = 2_000_000;
+        start("two", voters, "a", "b", "c", "d");
+        members.get("a").in("new");
+        awaitAll(List.of("new"), "a", "b", "c", "d");
+        assertEquals(List.of("new"), members.get("a").ids());
+        members.get("c").kill();
+        members.remove("c");
+        await(() -> members.get("d").log.status().part().equals("voter") && members.get("a").log.status().group().containsKey("d"), "d takes the place of c");
+        members.get("d").in("later");
+        awaitAll(List.of("new", "later"), "a", "b", "d");
+    }
+}
--- a/src/test/java/mastdrift/net/LatenessTest.java
+++ b/src/test/java/mastdrift/net/LatenessTest.java
@@ -240,6 +240,28 @@
         }
     }
 
+    /** The listener is to be closed while the loop is held, and somebody has come meanwhile: taken by the machine, they have their answer. */
+    @Test
+    void whoWaitsToBeAcceptedAtAStopIsAnswered() throws Exception {
+        try (Server discovery = discovery(); Server host = Loopback.host("x"); Held gateway = new Held(discovery, up("s1", host))) {
+            Socket first = gateway.connect();
+            write(first, read(20_000));
+            assertEquals(200, Loopback.read(first).status());
+            gateway.timed.loop().execute(() -> gateway.clients.stop(3_000_000, () -> { }));
+            gateway.hold(3 * HOLD);  // the close of the listener falls due in it
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                sockets.add(gateway.connect());
+                write(sockets.get(i), read(20_000).replace("9b1f", "id" + i));
+            }
+            for (Socket each : sockets) {
+                Message answer = Loopback.read(each);
+                assertNotNull(answer, "an answer, and no reset");
+                assertEquals(200, answer.status());
+            }
+        }
+    }
+
     /** The drain came in behind the request, while the loop was held for longer than a drain may take: read in the same turn, the
         request must not go to the host that drains. */
     @Test
