--- a/src/main/java/mastdrift/cli/PeersCommand.java
+++ b/src/main/java/mastdrift/cli/PeersCommand.java
@@ -73,14 +73,21 @@
         if (status.get("health") instanceof Integer health && health > 0) {
             out.println("it doubts itself: local health " + health + " of 8, 0 is well");
         }
+        if (status.get("log") instanceof Map<?, ?> log) {
+            out.println("agreed log: " + log.get("part") + ("".equals(log.get("why")) ? "" : " (" + log.get("why") + ")") + ", leader "
+                    + ("".equals(log.get("leader")) ? "not known" : log.get("leader")) + ", term " + log.get("term") + ", read up to " + log.get("last") + ", voters "
+                    + log.get("voters"));
+        }
         List<?> members = status.get("members") instanceof List<?> list ? list : List.of();
-        out.printf("%-20s %-12s %-10s %10s %10s %-18s %-12s %s%n", "gateway", "zone", "standing", "since", "heard", "life", "build", "what differs");
+        out.printf("%-20s %-12s %-10s %10s %10s %-18s %-12s %-8s %s%n", "gateway", "zone", "standing", "since", "heard", "life", "build", "roll",
+                "what differs");
+        Map<?, ?> rolls = status.get("log") instanceof Map<?, ?> log && log.get("rolls") instanceof Map<?, ?> words ? words : Map.of();
         for (Object each : members) {
             if (each instanceof Map<?, ?> member) {
                 String differs = (status.get("settings").equals(member.get("settings")) ? "" : "settings " + member.get("settings") + " ")
                         + (status.get("build").equals(member.get("build")) ? "" : "build");
-                out.printf(Locale.ROOT, "%-20s %-12s %-10s %10s %10s %-18s %-12s %s%n", member.get("name"), member.get("zone"), member.get("standing"),
-                        seconds(member.get("since_ms")), seconds(member.get("heard_ms")), member.get("life"), member.get("build"),
+                out.printf(Locale.ROOT, "%-20s %-12s %-10s %10s %10s %-18s %-12s %-8s %s%n", member.get("name"), member.get("zone"), member.get("standing"),
+                        seconds(member.get("since_ms")), seconds(member.get("heard_ms")), member.get("life"), member.get("build"), rolls.get(member.get("name")),
                         differs.isEmpty() ? "nothing" : differs.strip());
             }
         }
--- a/src/main/java/mastdrift/config/Configuration.java
+++ b/src/main/java/mastdrift/config/Configuration.java
@@ -13,10 +13,11 @@
 import mastdrift.zones.ZoneSettings;
 
 /** A whole set of files, checked: the gateway's own file and the node lists that it includes. Immutable. {@code zones} is null where
-    what crosses zones is neither counted nor bounded, {@code peers} where the gateway knows of no other. */
+    what crosses zones is neither counted nor bounded, {@code peers} where the gateway knows of no other, {@code agreed}
+    where it agrees on nothing with them. */
 public record Configuration(GatewaySettings gateway, List<RequestClass> classes, List<Tenant> tenants,
         Map<String, PoolSettings> pools, List<RadiusSettings> radius, List<Route> routes, List<Override> overrides,
-        Map<String, List<Node>> nodes, ZoneSettings zones, PeerSettings peers) {
+        Map<String, List<Node>> nodes, ZoneSettings zones, PeerSettings peers, AgreedSettings agreed) {
 
     /** Node lists that one gateway's file includes. */
     public static final int FILES_MOST = 64;
--- a/src/main/java/mastdrift/config/ConfigurationReader.java
+++ b/src/main/java/mastdrift/config/ConfigurationReader.java
@@ -85,11 +85,12 @@
         List<Override> overrides = overrides(root);
         ZoneSettings zones = ZonesReader.read(root, gateway.zone(), gateway.zones(), classes, tenants, pools.keySet());
         PeerSettings peers = PeersReader.read(root, gateway);
+        AgreedSettings agreed = PeersReader.agreed(root, gateway, peers);
         root.noMore();
         Map<String, List<Node>> nodes = nodes(pools, gateway.zones(), files);
         fit(root, radius, routes, pools);
         radius.forEach(each -> alike(root, each, routes));
-        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes, zones, peers);
+        return new Configuration(gateway, classes, tenants, pools, radius, routes, overrides, nodes, zones, peers, agreed);
     }
 
     // ---- the gateway's own file
--- a/src/main/java/mastdrift/config/PeersReader.java
+++ b/src/main/java/mastdrift/config/PeersReader.java
@@ -9,6 +9,8 @@
 /** Reads the table {@code [peers]}; docs/operations/peers.md lists its keys. */
 final class PeersReader {
 
+    private static final int AGREED_MOST = 7;
+
     private PeersReader() { }
 
     /** Null where there is no such table: the gateway knows of no other then. */
@@ -50,4 +52,32 @@
         section.noMore();
         return settings;
     }
+
+    /** The table {@code [agreed]}; null where there is none. */
+    static AgreedSettings agreed(Section root, GatewaySettings gateway, PeerSettings peers) {
+        if (!root.has("agreed")) {
+            return null;
+        }
+        Section section = root.section("agreed");
+        List<String> voters = section.texts("voters", AGREED_MOST);
+        Set<String> met = Section.met();
+        List<String> known = new ArrayList<>(peers == null ? List.of() : peers.gateways().keySet());
+        known.add(gateway.name());
+        if (peers == null) {
+            section.problem("expected a table [peers] beside it, found none");
+        }
+        for (String each : voters) {
+            section.once("voters", each, met);
+            if (!known.contains(each)) {
+                section.problem("voters", Tables.expectedOne("the gateways of [peers]", known, each));
+            }
+        }
+        if (voters.size() % 2 == 0) {
+            section.problem("voters", "expected 1, 3, 5 or 7 gateways, found " + voters.size());
+        }
+        AgreedSettings settings = new AgreedSettings(Tables.word(section, "begin", section.requiredText("begin")), voters, section.text("folder", "agreed"),
+                section.span("replace_after", 60_000_000, 1_000_000, 3_600_000_000L), section.span("roll_every", 60_000_000, 100_000, 3_600_000_000L));
+        section.noMore();
+        return settings;
+    }
 }
--- a/src/main/java/mastdrift/lab/rig/Chaos.java
+++ b/src/main/java/mastdrift/lab/rig/Chaos.java
@@ -27,6 +27,7 @@
     /** Hosts drop repeats of a key for so long; a client's tries are over by then. */
     static final long WINDOW = 10_000_000;
     private static final String INSTALLATION = "rig";
+    private static final int VOTERS = 3;
     private static final int SLICE_MILLIS = 200;
     private static final int TICK_MILLIS = 10;
     private static final long HOST_WORK = 2_000;
@@ -170,6 +171,9 @@
                         .append(text(relays.get(number + " " + other).address())).append("\"\n");
             }
         }
+        int voters = Math.min(plan.gateways(), VOTERS) - (plan.gateways() == 2 ? 1 : 0);
+        peers.append("[agreed]\nbegin = \"rig\"\nfolder = \"state/agreed\"\nroll_every = \"500ms\"\nvoters = [")
+                .append(String.join(", ", plan.names().subList(0, voters).stream().map(name -> '"' + name + '"').toList())).append("]\n");
         files.save("peers.key", "a key of the rig");
         files.save("nodes.toml", GatewayFiles.list(hosts.stream().map(host -> GatewayFiles.node(host.name(), host.endpoint(), zone(hosts.indexOf(host)), "")).toList()));
         files.gateway("[gateway]\nname = \"" + gateway.name() + "\"\nlisten = \"" + text(gateway.http()) + "\"\nzone = \"" + zone(number) + "\"\nzones = ["
--- a/src/main/java/mastdrift/lab/rig/Judge.java
+++ b/src/main/java/mastdrift/lab/rig/Judge.java
@@ -59,6 +59,7 @@
         processes(lines);
         deaths(lines);
         views(lines);
+        agreed(lines);
         return broken.values().stream().sorted((a, b) -> Long.compare(a.first.at(), b.first.at())).toList();
     }
 
@@ -160,6 +161,55 @@
         }
     }
 
+    /** The agreed log: one decision an index and one index a decision, whoever reads; in rising order in each life; what was said to be in is read there by all who read on, and what was said to be out by nobody. */
+    private void agreed(List<Line> lines) {
+        Map<Long, String> ids = new HashMap<>();
+        Map<String, Long> indexes = new HashMap<>();
+        Map<String, Long> position = new HashMap<>();
+        Map<String, Set<Long>> read = new HashMap<>();
+        for (Line line : lines) {
+            if (line.what().equals("started")) {
+                position.remove(line.who());
+                read.remove(line.who());
+            } else if (line.what().equals("agreed_read")) {
+                for (String each : line.text("ids").split(";")) {
+                    long index = Long.parseLong(each.substring(0, each.indexOf('=')));
+                    String id = each.substring(each.indexOf('=') + 1);
+                    if (!ids.computeIfAbsent(index, at -> id).equals(id) || indexes.computeIfAbsent(id, at -> index) != index) {
+                        breaks("one decision at an index, and one index of a decision", line);
+                    }
+                    if (index <= position.getOrDefault(line.who(), 0L)) {
+                        breaks("decisions are read in their order, each once", line);
+                    }
+                    position.put(line.who(), index);
+                    read.computeIfAbsent(line.who(), who -> new HashSet<>()).add(index);
+                }
+            }
+        }
+        for (Line line : lines) {
+            String id = line.text("id");
+            if (line.what().equals("agreed_out") && indexes.containsKey(id)) {
+                breaks("what was said to be out is out", line);
+            } else if (line.what().equals("agreed_in")) {
+                long index = index(line);
+                if (indexes.containsKey(id) && indexes.get(id) != index || ids.containsKey(index) && !ids.get(index).equals(id)) {
+                    breaks("what was said to be in is in, there", line);
+                }
+                // Who began behind a snapshot has read what is kept; whoever read one before it and one after it has read it.
+                read.forEach((who, own) -> {
+                    if (!own.contains(index) && own.stream().anyMatch(at -> at < index) && own.stream().anyMatch(at -> at > index)) {
+                        breaks("what was said to be in is read by all", line);
+                    }
+                });
+            }
+        }
+    }
+
+    private static long index(Line line) {
+        String text = line.text("index");
+        return text.isEmpty() ? 0 : Long.parseLong(text);
+    }
+
     /** Whether a process was hit, or had been a moment ago. */
     private boolean hit(int gateway, long from, long until) {
         for (Fault fault : faults) {
--- a/src/main/java/mastdrift/serve/Changes.java
+++ b/src/main/java/mastdrift/serve/Changes.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import mastdrift.config.Configuration;
@@ -44,6 +45,9 @@
         if ((inForce.peers() == null) != (next.peers() == null) || inForce.peers() != null && !inForce.peers().sameAtStart(next.peers())) {
             bound.add("[peers]: expected the table, or none, as the gateway started with it but for keys and gateways; start it anew to change it");
         }
+        if (!Objects.equals(inForce.agreed(), next.agreed())) {
+            bound.add("[agreed]: expected what the gateway started with; start it anew to change it");
+        }
         inForce.pools().forEach((name, pool) -> {
             PoolSettings other = next.pools().get(name);
             if (other != null && !pool.sameAtStart(other)) {
--- a/src/main/java/mastdrift/serve/PeerService.java
+++ b/src/main/java/mastdrift/serve/PeerService.java
@@ -23,8 +23,11 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
+import mastdrift.agreed.edge.Wires;
 import mastdrift.config.Configuration;
 import mastdrift.config.GatewaySettings;
 import mastdrift.config.PeerSettings;
@@ -49,6 +52,7 @@
 
     private static final byte WORD = 1;
     private static final byte WORK = 2;
+    private static final byte AGREED = 3;
     private static final long STATUS_MILLIS = 500;
     private static final int STATUS_ANYWAY = 10;  // times that nothing has changed
     private static final long LEAVE_MILLIS = 300;
@@ -68,6 +72,9 @@
     private final long life;
     private final Map<String, Long> saidAt = new HashMap<>();
     private Consumer<Digest> works = digest -> { };
+    private volatile BiConsumer<String, byte[]> agreed = (from, message) -> { };
+    private volatile Supplier<Map<String, Object>> log = () -> null;
+    private volatile List<Roster.Member> seen = List.of();
     private Future<?> armed;
     private long armedFor = Long.MAX_VALUE;
     private boolean changed = true;
@@ -141,9 +148,9 @@
         return life;
     }
 
-    /** Where it listens. */
-    InetSocketAddress address() {
-        return links.address();
+    /** The gateway's. */
+    String zone() {
+        return gateway.zone();
     }
 
     /** The operator's file has changed. */
@@ -183,11 +190,41 @@
         });
     }
 
+    // ---- the agreed log
+
+    /** Links for it. */
+    Wires wires() {
+        return new Wires() {
+            @Override
+            public void send(String gateway, byte[] message) {
+                if (!loop.isShuttingDown()) {
+                    loop.execute(() -> links.send(gateway, AGREED, message));
+                }
+            }
+
+            @Override
+            public void ears(BiConsumer<String, byte[]> heard) {
+                agreed = heard;
+            }
+        };
+    }
+
+    /** Who is there, as of a moment ago; from any thread. */
+    List<Roster.Member> seen() {
+        return seen;
+    }
+
+    /** What the status file says of the log. */
+    void log(Supplier<Map<String, Object>> status) {
+        log = status;
+    }
+
     // ---- who is there
 
     private void tick() {
         try {
             roster.tick(now());
+            seen = roster.members();
         } finally {  // or no tick would ever come again
             arm();
         }
@@ -239,6 +276,8 @@
                     if (digest.name().equals(from)) {
                         works.accept(digest);
                     }
+                } else if (kind == AGREED) {
+                    agreed.accept(from, message);
                 } else {
                     refused("peer_later", from, "a message of a kind that this build doesn't know: " + kind);
                 }
@@ -312,6 +351,7 @@
             members.add(member);
         }
         all.put("members", members);
+        all.put("log", log.get());
         PeerLinks.Counts counts = links.counts();
         all.put("counts", new LinkedHashMap<>(Map.of("sent", counts.sent(), "sent_bytes", counts.sentBytes(), "received", counts.received(),
                 "received_bytes", counts.receivedBytes(), "dropped", counts.dropped(), "refused", counts.refused())));
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -106,6 +106,7 @@
     private ZoneService zones;  // null where what crosses zones is neither counted nor bounded
     private PeerService peers;  // null where it knows of no other gateway
     private PeerWork peerWork;
+    private AgreedService agreed;  // null where it agrees on nothing
     private GatewaySettings gateway;
     private List<RadiusSettings> listeners = List.of();
     private volatile StatusFile status;
@@ -193,6 +194,9 @@
         if (peers != null) {
             peers.listen();
         }
+        if (started.agreed() != null) {
+            agreed = new AgreedService(file, started, peers, events);
+        }
     }
 
     private static void bound(String at, ChannelFuture bound) {
@@ -465,6 +469,9 @@
     public void close() {
         watcher.close();
         control.close();
+        if (agreed != null) {
+            agreed.close();
+        }
         if (peers != null) {
             peers.close();
         }
--- a/src/test/java/mastdrift/lab/rig/JudgeTest.java
+++ b/src/test/java/mastdrift/lab/rig/JudgeTest.java
@@ -84,6 +84,26 @@
         }));
     }
 
+    @Test
+    void theAgreedLog() {
+        assertEquals(List.of(), broken(List.of(), history -> log(history, "g0 read a 1", "g1 read a 1", "g0 in a 1", "g0 read b 3", "g1 read b 3", "g2 read b 3", "g1 out c 0")));
+        assertEquals(List.of("one decision at an index, and one index of a decision"), broken(List.of(), history -> log(history, "g0 read a 1", "g1 read b 1")));
+        assertEquals(List.of("one decision at an index, and one index of a decision"), broken(List.of(), history -> log(history, "g0 read a 1", "g0 read a 2")));
+        assertEquals(List.of("decisions are read in their order, each once"), broken(List.of(), history -> log(history, "g0 read a 2", "g0 read b 1")));
+        assertEquals(List.of("what was said to be out is out"), broken(List.of(), history -> log(history, "g0 out a 0", "g1 read a 1")));
+        assertEquals(List.of("what was said to be in is in, there"), broken(List.of(), history -> log(history, "g0 in a 1", "g1 read a 2")));
+        assertEquals(List.of("what was said to be in is in, there"), broken(List.of(), history -> log(history, "g0 in a 1", "g1 read b 1")));
+        assertEquals(List.of("what was said to be in is read by all"), broken(List.of(),
+                history -> log(history, "g0 in b 2", "g1 read a 1", "g1 read c 3")));
+    }
+
+    private static void log(History history, String... words) {
+        for (int i = 0; i < words.length; i++) {
+            String[] word = words[i].split(" ");
+            history.add(10 * SECOND + i, word[0], "agreed_" + word[1], "id", word[2], "index", word[3], "ids", word[3] + "=" + word[2]);
+        }
+    }
+
     /** A plan that is written down is the same when it is read. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
