Folders of the agreed log: tides by part taken, no witness made anew; who was replaced notices

Causes, each found by a test: (1) MembershipTest, 3,000 schedules of folders on paper: the tide grew with each start, so an older copy that was started often enough had caught up with what the others remembered ('tide=23 ... heard={c0=23}'); and a folder made anew was counted as a witness though it remembers nothing. (2) RaftLogTest in a whole run of the tests: a leader that was cut off for 2 s had been replaced (the test's own candidates were away for as long as it takes) and believed itself a voter for good: 'a Status[part=voter, ... last=35]' beside 41 at the others.

--- a/src/main/java/mastdrift/agreed/Membership.java
+++ b/src/main/java/mastdrift/agreed/Membership.java
@@ -9,16 +9,17 @@
 import java.util.TreeSet;
 
 /**
- * Whether a member may take part in the log, by its own folder and by what the other voters say. A voter is a folder, not a name: its id is drawn when the folder is made. It keeps count of its starts and of time spent (its tide), and the
+ * Whether a member may take part in the log, by its own folder and by what the other voters say. A voter is a folder, not a name: its id is drawn when the folder is made. It keeps count of the times that it took part and of time spent in it (its tide), and the
  * others remember the highest tide that they heard of each id.
  *
  * <ul>
- * <li>A folder that is part of a log that has begun goes on in it, once so many others have answered that they and it are a majority, and none remembers a higher tide of it: else it is an older copy, and has perhaps promised what it no longer knows.
+ * <li>A folder that is part of a log that has begun goes on in it, once all others have answered, or after {@value #PATIENCE} ms so many that they and it are a majority, and none remembers a higher tide of it: else it is an older copy, and has
+ * perhaps promised what it no longer knows.
  * <li>A folder that is not, where nobody's is: the log begins, once all voters have said so.
  * <li>A folder that is not, where somebody's is: its id is in that log where it was there at the begin and had not heard of it; else it was lost and made anew, and joins under its new id, by those who are left.
  * </ul>
  *
- * <p>Older copies that were made less than a tide before the process ended are not told from it.
+ * <p>Not told from the folder itself is an older copy that was made less than a tide before the process ended, or whose tides were heard by those alone who are away while it starts.
  */
 public final class Membership {
 
@@ -28,7 +29,7 @@
      * @param id drawn when the folder was made
      * @param begin the operator's word for this log
      * @param group ids of the voters by name, once the log has begun here; empty before
-     * @param tide starts, and spans of time that it ran
+     * @param tide times that it took part, and spans of time in which it did
      * @param heard the highest tide that it has heard of others, by id
      */
     public record Folder(String id, String begin, Map<String, String> group, long tide, Map<String, Long> heard) {
@@ -72,10 +73,13 @@
         record StepAside(String why) implements Step { }
     }
 
+    /** For so long a folder that has begun waits for all others, in milliseconds. */
+    public static final long PATIENCE = 3_000;
+
     private Membership() { }
 
-    /** Of the gateway of a name, among voters that the files name, with what the others have answered so far, by name. */
-    public static Step step(String name, Folder own, Collection<String> voters, Map<String, Folder> answers) {
+    /** Of the gateway of a name, among voters that the files name, with what the others have answered so far, by name, in the milliseconds that it has waited. */
+    public static Step step(String name, Folder own, Collection<String> voters, Map<String, Folder> answers, long waited) {
         TreeSet<String> others = new TreeSet<>(voters);
         others.remove(name);
         for (Map.Entry<String, Folder> each : answers.entrySet()) {
@@ -95,8 +99,10 @@
             if (without > own.group().size() / 2) {
                 return new Step.StepAside("another was taken into the log in place of this folder");
             }
-            int needed = own.group().size() / 2;
-            long answered = own.group().keySet().stream().filter(each -> !each.equals(name) && answers.containsKey(each)).count();
+            int needed = waited < PATIENCE ? own.group().size() - 1 : own.group().size() / 2;
+            // One that was made anew remembers nothing: it is no witness.
+            long answered = own.group().entrySet().stream().filter(each -> !each.getKey().equals(name) && answers.containsKey(each.getKey())
+                    && answers.get(each.getKey()).id().equals(each.getValue())).count();
             return answered >= needed ? new Step.TakePart(own.group()) : new Step.Wait("for " + needed + " others of the log, " + answered + " have answered");
         }
         Map<String, String> group = null;
--- a/src/main/java/mastdrift/agreed/edge/RaftLog.java
+++ b/src/main/java/mastdrift/agreed/edge/RaftLog.java
@@ -116,6 +116,7 @@
     private volatile String why = "";
     private volatile Decisions followed = new Decisions();
     private volatile Map<String, String> group = Map.of();
+    private final long openedAt = System.nanoTime();
     private String saidLeader = "";
     private long lastRead;
     private boolean changing;
@@ -157,7 +158,6 @@
                 says.event(false, "agreed_begin", "another log begins, by the operator's word \"" + settings.begin() + "\"; the one before was \"" + own.begin() + "\"");
                 own = new Folder(Long.toHexString(random.nextLong() >>> 16), settings.begin(), Map.of(), 0, Map.of());
             }
-            own = own.later();
             file.write(own);
         } catch (IOException e) {
             aside("its folder can't be used: " + e.getMessage());
@@ -245,7 +245,7 @@
         if (closed || part.equals("aside") || part.equals("voter")) {
             return;
         }
-        Step step = Membership.step(settings.name(), own, settings.voters(), Map.copyOf(answers));
+        Step step = Membership.step(settings.name(), own, settings.voters(), Map.copyOf(answers), TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - openedAt));
         if (step instanceof Step.TakePart take) {
             takePart(take.group(), "voter");
             return;
@@ -274,6 +274,13 @@
             aside("its log has failed; see the events before");
             return;
         }
+        // Who was cut off while another took its place is told by nobody but those it asks.
+        if (Membership.step(settings.name(), own, settings.voters(), Map.copyOf(answers), Membership.PATIENCE) instanceof Step.StepAside replaced) {
+            aside(replaced.why());
+            part = "following";
+            every(FOLLOW_MILLIS, this::follow);
+            return;
+        }
         own = own.later();
         try {
             file.write(own);
@@ -294,8 +301,9 @@
 
     private void takePart(Map<String, String> voters, String as) {
         try {
-            own = own.in(voters);
+            own = own.in(voters).later();  // not at each start: an older copy would catch up by being started often
             file.write(own);
+            tellFolder();
             group = own.group();
             part = as;
             why = "";
--- a/src/main/java/mastdrift/cli/Commands.java
+++ b/src/main/java/mastdrift/cli/Commands.java
@@ -14,6 +14,7 @@
 import mastdrift.events.Events;
 import mastdrift.files.FileTexts;
 import mastdrift.files.StatusFile;
+import mastdrift.lab.rig.ChaosPlan;
 import mastdrift.logging.LogSetup;
 import mastdrift.serve.Changes;
 import mastdrift.serve.Service;
@@ -193,8 +194,18 @@
                 description = "where the gateway listens (a free port of 127.0.0.1)")
         private String listen;
 
+        @Option(names = "--gateways", paramLabel = "N", description = "plays N gateways as processes instead, 3 to 9, with one killed and one cut off, for 40 s")
+        private Integer gateways;
+
         @Override
         public Integer call() throws IOException, InterruptedException {
+            if (gateways != null) {
+                if (gateways < 3 || gateways > ChaosPlan.GATEWAYS_MOST) {
+                    spec.commandLine().getErr().println("--gateways: expected 3 to " + ChaosPlan.GATEWAYS_MOST + ", found " + gateways);
+                    return WORDS;
+                }
+                return new FleetDemo(gateways, spec.commandLine().getOut()).play();
+            }
             if (seconds < 4 || seconds > 3600) {
                 spec.commandLine().getErr().println("--seconds: expected 4 to 3600, found " + seconds);
                 return WORDS;
--- /dev/null
+++ b/src/main/java/mastdrift/measure/AgreedMeasurement.java
@@ -0,0 +1,79 @@
+package mastdrift.measure;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import mastdrift.agreed.AgreedLog.Fate;
+import mastdrift.agreed.edge.RaftLog;
+import mastdrift.agreed.edge.Wires;
+
+/** The agreed log of three members in one process: threads and heap while it is idle, and the time from an append to its being known, with fsync. Words: a folder (a disk's, or memory's) and appends (200). */
+public final class AgreedMeasurement {
+
+    private static final int MEMBERS = 3;
+    private static final long WAIT_SECONDS = 60;
+
+    private AgreedMeasurement() { }
+
+    /** Prints what it saw. */
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createDirectories(Path.of(args.length > 0 ? args[0] : "agreed-measurement"));
+        int appends = args.length > 1 ? Integer.parseInt(args[1]) : 200;
+        Map<String, BiConsumer<String, byte[]>> ears = new ConcurrentHashMap<>();
+        ExecutorService network = Executors.newSingleThreadExecutor();
+        int threads = Thread.activeCount();
+        double heap = Heap.used();
+        List<String> names = List.of("a", "b", "c");
+        List<RaftLog> logs = new ArrayList<>();
+        for (String name : names) {
+            logs.add(new RaftLog(new RaftLog.Settings(name, "measured", "begin", names, folder.resolve(name), 3_600_000_000L), new Wires() {
+                @Override
+                public void send(String gateway, byte[] message) {
+                    network.execute(() -> ears.getOrDefault(gateway, (from, lost) -> { }).accept(name, message));
+                }
+
+                @Override
+                public void ears(BiConsumer<String, byte[]> heard) {
+                    ears.put(name, heard);
+                }
+            }, decision -> { }, List::of, (bad, what, text, fields) -> { }));
+        }
+        append(logs.get(0), "first");
+        System.out.printf(Locale.ROOT, "idle: %.1f threads and %.0f KiB of heap a member%n", (ManagementFactory.getThreadMXBean().getThreadCount() - threads - 1) / (double) MEMBERS,
+                (Heap.used() - heap) / 1024 / MEMBERS);
+        double[] micros = new double[appends];
+        for (int i = 0; i < appends; i++) {
+            long began = System.nanoTime();
+            append(logs.get(i % MEMBERS), "append-" + i);
+            micros[i] = (System.nanoTime() - began) / 1e3;
+        }
+        Arrays.sort(micros);
+        System.out.printf(Locale.ROOT, "append to known, one at a time: half within %.1f ms, 99%% within %.1f ms%n", micros[appends / 2] / 1e3, micros[appends * 99 / 100] / 1e3);
+        logs.forEach(RaftLog::close);
+        network.shutdownNow();
+        System.exit(0);
+    }
+
+    private static void append(RaftLog log, String id) throws Exception {
+        for (int tries = 0; tries < 10; tries++) {
+            CompletableFuture<Fate> fate = new CompletableFuture<>();
+            log.append(id, new byte[200], fate::complete);
+            if (fate.get(WAIT_SECONDS, TimeUnit.SECONDS) instanceof Fate.In) {
+                return;
+            }
+        }
+        throw new IOException("expected " + id + " to be in, found that it isn't known");
+    }
+}
--- a/src/test/java/mastdrift/agreed/edge/RaftLogTest.java
+++ b/src/test/java/mastdrift/agreed/edge/RaftLogTest.java
@@ -34,6 +34,7 @@
 class RaftLogTest {
 
     private static final int WAIT_SECONDS = 40;
+    private static final long AWAY = 2_000_000;
 
     @TempDir
     private Path folder;
@@ -67,7 +68,7 @@
                 public void ears(BiConsumer<String, byte[]> heard) {
                     ears.put(name, heard);
                 }
-            }, read::add, () -> members.keySet().stream().map(each -> new Voters.Candidate(each, "z", ears.containsKey(each) && !cut.contains(each) ? 0 : longAway)).toList(),
+            }, read::add, () -> members.keySet().stream().map(each -> new Voters.Candidate(each, "z", ears.containsKey(each) && !cut.contains(each) ? 0 : AWAY)).toList(),
                     (bad, what, text, fields) -> said.add(what + " " + text));
             members.put(name, this);
         }
@@ -249,7 +250,7 @@
         for (String each : voters) {
             members.get(each).kill();
         }
-        longAway = 2_000_000;
+        longAway = AWAY;
         start("two", voters, "a", "b", "c", "d");
         members.get("a").in("new");
         awaitAll(List.of("new"), "a", "b", "c", "d");
@@ -259,5 +260,7 @@
         await(() -> members.get("d").log.status().part().equals("voter") && members.get("a").log.status().group().containsKey("d"), "d takes the place of c");
         members.get("d").in("later");
         awaitAll(List.of("new", "later"), "a", "b", "d");
+        new Member("c", "two", voters);
+        await(() -> List.of("aside", "following").contains(members.get("c").log.status().part()), "c comes back and finds that it was replaced");
     }
 }
--- a/src/test/java/mastdrift/cli/CommandsTest.java
+++ b/src/test/java/mastdrift/cli/CommandsTest.java
@@ -56,6 +56,27 @@
         assertEquals(0, run("check", "deploy/gateway-radius.toml"), () -> err);
         assertTrue(out.contains("pool cards: version "), out);
         assertEquals(0, run("check", "deploy/gateway-zones.toml"), () -> err);
+        assertEquals(0, run("check", "deploy/gateway-fleet.toml"), () -> err);
+    }
+
+    /** What a gateway wrote of the others, and files that have none of it. */
+    @Test
+    void peersShowsWhoIsThere(@TempDir Path own) throws IOException {
+        assertEquals(1, run("peers", "deploy/gateway.toml"));
+        assertTrue(err.contains("expected a table [peers] with status_file, found no such table"), err);
+        for (String name : List.of("gateway-fleet.toml", "nodes-sessions.toml")) {
+            Files.copy(Path.of("deploy", name), own.resolve(name));
+        }
+        String file = own.resolve("gateway-fleet.toml").toString();
+        assertEquals(3, run("peers", file), "nothing was written yet");
+        Files.writeString(own.resolve("peers.status"), "{\"gateway\":\"bilbao-1\",\"zone\":\"bilbao\",\"life\":7,\"build\":\"1\",\"settings\":\"a\",\"at\":\"now\",\"health\":2,"
+                + "\"log\":{\"part\":\"aside\",\"why\":\"an older copy\",\"leader\":\"\",\"term\":3,\"last\":9,\"voters\":[\"bilbao-1\"],\"rolls\":{\"oviedo-1\":8}},"
+                + "\"members\":[{\"name\":\"oviedo-1\",\"zone\":\"oviedo\",\"standing\":\"gone\",\"since_ms\":1500,\"heard_ms\":null,\"life\":5,\"build\":\"1\",\"settings\":\"b\"}]}");
+        assertEquals(0, run("peers", file), () -> err);
+        assertTrue(out.contains("local health 2 of 8") && out.contains("aside (an older copy), leader not known, term 3"), out);
+        assertTrue(out.lines().anyMatch(line -> line.matches("oviedo-1 +oviedo +gone +1.5 s +never +5 +1 +8 +settings b")), out);
+        assertEquals(0, run("peers", "--form", "json", file));
+        assertTrue(out.contains("\"standing\""), out);
     }
 
     /** Two gateways' reports: what crossed together, each one's budget, and a file that is none. */
