The status file of peers names its links; one bound on voters in place of two

Need: PeerLinks.links() had no reader but a test, and the bound of seven voters stood twice. PeersReaderTest, CommandsTest, PeerLinksTest, ArchitectureTest and a ChaosTest pass.

--- a/src/main/java/mastdrift/config/PeersReader.java
+++ b/src/main/java/mastdrift/config/PeersReader.java
@@ -5,12 +5,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import mastdrift.agreed.Voters;
 
 /** Reads the table {@code [peers]}; docs/operations/peers.md lists its keys. */
 final class PeersReader {
 
-    private static final int AGREED_MOST = 7;
-
     private PeersReader() { }
 
     /** Null where there is no such table: the gateway knows of no other then. */
@@ -59,7 +58,7 @@
             return null;
         }
         Section section = root.section("agreed");
-        List<String> voters = section.texts("voters", AGREED_MOST);
+        List<String> voters = section.texts("voters", Voters.MOST);
         Set<String> met = Section.met();
         List<String> known = new ArrayList<>(peers == null ? List.of() : peers.gateways().keySet());
         known.add(gateway.name());
--- a/src/main/java/mastdrift/serve/PeerService.java
+++ b/src/main/java/mastdrift/serve/PeerService.java
@@ -351,6 +351,7 @@
             members.add(member);
         }
         all.put("members", members);
+        all.put("links", links.links());
         all.put("log", log.get());
         PeerLinks.Counts counts = links.counts();
         all.put("counts", new LinkedHashMap<>(Map.of("sent", counts.sent(), "sent_bytes", counts.sentBytes(), "received", counts.received(),
