What waits for a client that has left is not sent on any more

Seen, by a test that forces each crossing, run against the program as it stood: 'behindPipelinedRequestsTheEndIsHeard never came true' (4 of 4), 'whileItsConnectionIsDialled expected: <marker> but was: <gone>' (2 of 4, those where nothing may be cancelled), 'inTheTurnInWhichItsConnectionComesUp expected: <[]> but was: <[gone]>' (4 of 4), 'whileTheLoopWasHeld expected: <[]> but was: <[gone]>' (3 of 6; in the other 3 the log had 'fault in an event: java.lang.NullPointerException'). Ruled out: a request that waits for a repeat (beforeItsRepeat passed before); the module holds none back.

Causes: ClientSide.arrived paused reading behind nine pipelined requests, so that their client's end was not heard; HostPool.dial wrote what had waited for its connection without asking whether anybody still waits, and Balance.end may not cancel where settings don't allow it; a request and its client's end that were read after a pause were handled in that order, the end a turn later; an event held back by Ledger.event was played for an exchange that had ended.

Change: reading goes on, what is pipelined beyond eight is counted and refused in its turn (1,024 at the most, then nothing of the connection waits to be sent); the transport asks whether an attempt is still wanted before its first byte leaves, once all of the turn has been read, and keeps the connection that came up for nobody; what may have waited for over 100 ms has its connection looked at once more first. Only what has not been written stays unwritten, so settings that forbid cancelling are kept.

--- a/src/main/java/mastdrift/engine/Client.java
+++ b/src/main/java/mastdrift/engine/Client.java
@@ -3,6 +3,12 @@
 /** Where the one final answer of a request goes. Exactly one of these is called, once, unless the client left first. */
 public interface Client {
 
+    /** Whether it is still there to be answered, as far as this can be known by now. Asked where a first byte is about to leave for it, which may
+        be ahead of the event that tells of its end. */
+    default boolean there() {
+        return true;
+    }
+
     /** With a host's answer, which the caller releases. */
     void served(Answer answer);
 
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -66,6 +66,11 @@
         return now - turns.own(now);
     }
 
+    /** For how long at the most what is being handled now may have been there, in microseconds, whatever the loop waited for meanwhile. */
+    public long unseen() {
+        return turns.most(now());
+    }
+
     /** Which of its turns the loop is in, from 1 up; 0 where nobody tells of turns. */
     public long turn() {
         return turns.turn();
@@ -104,6 +109,11 @@
 
     /** Takes a request for a pool, and with it the call, which it releases; null where it was answered at once. */
     public Exchange take(Pool pool, Client client, Call call, Ask ask) {
+        return take(pool, client, call, ask, turns.own(now()));
+    }
+
+    /** Likewise, one that has waited here for up to {@code waited} microseconds. */
+    public Exchange take(Pool pool, Client client, Call call, Ask ask, long waited) {
         long kept = ask.left() - MARGIN;
         if (witness != null) {
             witness.taken(call, ask);
@@ -113,7 +123,7 @@
             return null;
         }
         if (kept <= 0) {
-            if (turns.own(now()) > MARGIN) {  // its time may be up: it waited here, and a new try does no harm
+            if (waited > MARGIN) {  // its time may be up: it waited here, and a new try does no harm
                 turnedAway(pool, client, call, ask);
             } else {
                 over(call, Witness.End.LATE, null);
@@ -130,6 +140,9 @@
         exchange.pass = pool.pass(ask);
         exchange.backstop = timers.after(kept + BACKSTOP, () -> overdue(exchange));
         event(exchange, now -> {
+            if (exchange.ended) {
+                return;  // it was held back, and its client left meanwhile: nobody is to be asked, and no host found for it
+            }
             pool.own(now);
             pool.module().request(now, new Balancer.Request(exchange.id, ask.className(), ask.tenant(), ask.key(), kept,
                     ask.work(), ask.repeated(), ask.write(), exchange.pass == null ? null : exchange.pass.bounds()));
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -164,6 +164,11 @@
             received = in;
         }
 
+        @Override
+        public boolean wanted() {
+            return !exchange.ended && exchange.client.there();
+        }
+
         @Override
         public void step() {
             long now = ledger.now();
--- a/src/main/java/mastdrift/engine/Transport.java
+++ b/src/main/java/mastdrift/engine/Transport.java
@@ -13,6 +13,11 @@
         /** The answer is null where the host gave none. */
         void ended(Outcome outcome, Answer answer, LoadReport report);
 
+        /** Whether anybody waits for what comes of it; asked again before the first byte of what had to wait leaves. */
+        default boolean wanted() {
+            return true;
+        }
+
         /** A step ahead of the end has come about that this program may have noticed late: a connection, say. */
         default void step() { }
 
@@ -43,7 +48,8 @@
     }
 
     /** Sends the call to a host and waits for {@code timeout} microseconds. A host that it doesn't know, or that may have
-        nothing new, and a timeout of 0 or less give UNUSED; so does what has not left after {@code leaveWithin} microseconds. */
+        nothing new, and a timeout of 0 or less give UNUSED; so does what has not left after {@code leaveWithin} microseconds, or is
+        not {@link Ended#wanted} any more once it could leave. */
     Attempt send(String uid, Call call, long timeout, long leaveWithin, Ended ended);
 
     /** Checks a host. */
--- a/src/main/java/mastdrift/lateness/Turns.java
+++ b/src/main/java/mastdrift/lateness/Turns.java
@@ -27,6 +27,7 @@
     private long turn;
     private long waitsSince;
     private long back;
+    private long backBefore;
     private long arrivedAfter;
     private long keptFrom;
     private long intervalSince;
@@ -52,6 +53,7 @@
         if (!told) {
             intervalSince = now;
         }
+        backBefore = told ? back : now;
         told = true;
         back = now;
         turn++;
@@ -72,6 +74,12 @@
         return told ? Math.max(0, now - arrivedAfter) : 0;
     }
 
+    /** How long ago the wait before this turn's ended: what is being handled came later than that, however the time since was spent. The bound that
+        needs no judgement; {@link #own} is nearer. */
+    public long most(long now) {
+        return told ? Math.max(0, now - backBefore) : 0;
+    }
+
     /** How long ago the wait ended: what came before then has been read by the time that timers run, what came later has not. */
     public long behind(long now) {
         return told ? Math.max(0, now - back) : 0;
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -67,7 +68,15 @@
     private static final int BACKLOG = 1024;
     // Connections that are taken from the system's queue in one turn: more would hold up everybody else.
     private static final int ACCEPTED_MOST = 16;
+    // Behind the current request so many are kept, and so many more are counted, to be refused in their turn. Reading goes on all the while, or
+    // the end of a connection would not be heard while its requests wait to be sent on.
     private static final int PIPELINED_MOST = 8;
+    static final int COUNTED_MOST = 1_024;
+    // Stands for one of those that were only counted.
+    private static final FullHttpRequest COUNTED = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "", Unpooled.EMPTY_BUFFER);
+    // What may have waited for longer than this before it was read may have a client that has left since, whose end stands behind it and would be read
+    // one turn later: then that is looked for first. Twice the loop's longest wait, so that it costs nothing while the loop keeps up.
+    private static final long LOOK_AFTER = 100_000;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
     // For so long clients are served on the connections that they have, since other gateways may be away as well; and
@@ -142,6 +151,13 @@
         return awake ? connections.size() - bare : bare;
     }
 
+    /** Requests that are only counted, on all connections; on the loop's thread. */
+    int counted() {
+        int[] all = new int[1];
+        connections.each(Phase.BUSY, connection -> all[0] += connection.counted);
+        return all[0];
+    }
+
     /** Binds; whether that went well is in the future. */
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -278,8 +294,8 @@
         }
     }
 
-    /** A request, and since when it may have waited. */
-    private record Arrived(FullHttpRequest message, long at) { }
+    /** A request, since when it may have waited, and the turn in which it was read. */
+    private record Arrived(FullHttpRequest message, long at, long turn) { }
 
     /** One client's connection. While it says nothing it is all that the pipeline has: what reads and writes HTTP is put ahead of it
         by the first byte, and taken out again once the connection has been idle for a while. */
@@ -289,6 +305,7 @@
         private Connections.Entry<Connection> entry;
         private StrictDecoder decoder;  // null while there is none
         private ArrayDeque<Arrived> waiting;  // requests behind the current one, null until there is one
+        private int counted;  // behind those
         private FullHttpRequest current;
         private Exchange exchange;
         private String id;
@@ -347,8 +364,7 @@
                 server.config().setAutoRead(true);
             }
             if (waiting != null) {
-                waiting.forEach(arrived -> arrived.message.release());
-                waiting.clear();
+                dropWaiting();
             }
             if (exchange != null) {
                 exchange.departed();
@@ -371,7 +387,8 @@
         private void arrived(FullHttpRequest message) {
             read = true;
             // What the first wait after the accept finds may have been there as long as the connection.
-            Arrived arrived = new Arrived(message, ledger.turn() == openedIn + 1 ? Math.min(openedSince, ledger.arrived()) : ledger.arrived());
+            long at = ledger.turn() == openedIn + 1 ? Math.min(openedSince, ledger.arrived()) : ledger.arrived();
+            Arrived arrived = new Arrived(message, at, ledger.turn());
             if (current == null) {
                 next(arrived);
                 return;
@@ -379,10 +396,31 @@
             if (waiting == null) {
                 waiting = new ArrayDeque<>(2);
             }
-            waiting.add(arrived);
-            if (waiting.size() > PIPELINED_MOST) {
+            if (counted == 0 && waiting.size() < PIPELINED_MOST) {
+                waiting.add(arrived);
+                return;
+            }
+            message.release();
+            if (++counted >= COUNTED_MOST) {  // an end would be heard no more: then nothing of this connection may wait to be sent on
                 channel.config().setAutoRead(false);
+                counted += waiting.size();
+                dropWaiting();
+            }
+        }
+
+        private void dropWaiting() {
+            waiting.forEach(arrived -> arrived.message.release());
+            waiting.clear();
+        }
+
+        /** The next in order; null where there is none. */
+        private Arrived poll() {
+            Arrived next = waiting == null ? null : waiting.poll();
+            if (next == null && counted > 0) {
+                counted--;
+                return new Arrived(COUNTED, ledger.now(), ledger.turn());
             }
+            return next;
         }
 
         /** What was read without a whole request coming of it is a part of one. */
@@ -407,8 +445,23 @@
             }
             connections.moved(ledger.now(), entry, Phase.BUSY);
             current = arrived.message;
+            // Since it was read, an end has been heard in the turn in which it came.
+            long unheard = arrived.turn == ledger.turn() ? Math.max(ledger.now() - arrived.at, ledger.unseen()) : ledger.unseen();
+            if (unheard > LOOK_AFTER) {
+                loop.execute(() -> {  // not within the read that brought it
+                    Look.at(channel);
+                    beginNow(arrived);
+                });
+            } else {
+                beginNow(arrived);
+            }
+        }
+
+        private void beginNow(Arrived arrived) {
             try {
-                begin(arrived);
+                if (channel.isActive()) {
+                    begin(arrived);
+                }
             } finally {
                 arrived.message.release();
             }
@@ -416,6 +469,10 @@
 
         private void begin(Arrived arrived) {
             FullHttpRequest message = arrived.message;
+            if (message == COUNTED) {
+                refused(0);
+                return;
+            }
             Throwable fault = message.decoderResult().cause();
             if (fault != null) {
                 boolean body = fault instanceof TooLongFrameException && "body".equals(fault.getMessage());
@@ -469,7 +526,7 @@
                     return;
                 }
                 exchange = ledger.take(pool, this, new HttpCall(message.retain()), new Ask(type.name(), tenant, key, left,
-                        head.again(), message.method().equals(HttpMethod.POST), work, zone(), effect));
+                        head.again(), message.method().equals(HttpMethod.POST), work, zone(), effect), waited);
             }
         }
 
@@ -499,6 +556,11 @@
             return hash;
         }
 
+        @Override
+        public boolean there() {
+            return channel.isActive();
+        }
+
         @Override
         public void served(Answer given) {
             FullHttpResponse answer = ((HttpAnswer) given).message();
@@ -543,7 +605,7 @@
             channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
                 current = null;
                 if (keep && done.isSuccess()) {
-                    next(waiting == null ? null : waiting.poll());
+                    next(poll());
                 } else {
                     close();
                 }
--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -69,6 +69,11 @@
     interface Ended {
         void ended(Outcome outcome, FullHttpResponse answer);
 
+        /** Whether anybody waits for it: what nobody waits for doesn't leave. */
+        default boolean wanted() {
+            return true;
+        }
+
         /** A connection for it was opened. */
         default void connected() { }
 
@@ -88,6 +93,7 @@
         }
     }
 
+    private final EventLoop loop;
     private final LongSupplier clock;
     private final Timers timers;
     private final Bootstrap bootstrap;
@@ -103,6 +109,7 @@
     /** Holds {@code most} connections; spans are in microseconds. */
     HostPool(EventLoop loop, LongSupplier clock, Timers timers, long dialTimeout, long idle, long grace, int most,
             Consumer<String> faults) {
+        this.loop = loop;
         this.clock = clock;
         this.timers = timers;
         this.grace = Math.max(0, grace - GRACE_SPARE);
@@ -206,15 +213,18 @@
                     stray(peer.uid, dialled.channel());
                 }
             });
-            if (!attempt.over) {
-                attempt.ended.connected();
-                Connection connection = dialled.channel().pipeline().get(Connection.class);
-                connection.peer = peer;
-                connection.at = at;
-                connection.name = NetUtil.toSocketAddressString(at);
-                connection.born = born;
-                connection.write(attempt);
-            }
+            Connection connection = dialled.channel().pipeline().get(Connection.class);
+            connection.peer = peer;
+            connection.at = at;
+            connection.name = NetUtil.toSocketAddressString(at);
+            connection.born = born;
+            // Once all that this turn found has been read: the end of who waited may be among it.
+            loop.execute(() -> {
+                if (!attempt.over) {
+                    attempt.ended.connected();
+                    connection.write(attempt);
+                }
+            });
         });
     }
 
@@ -402,11 +412,18 @@
         private void write(Attempt next) {
             long now = clock.getAsLong();
             next.channel = channel;
-            // It waited for its connection meanwhile: the host was drained, the time for a repeat is over, or what listens there
-            // is another start of the host, or another host, which nobody decided on.
-            if (now >= peer.sendUntil || now >= next.leaveBy || born != peer.born || !at.equals(peer.at)) {
+            // It waited for its connection meanwhile: the host was drained, the time for a repeat is over, whoever asked has left or been
+            // answered, or what listens there is another start of the host, or another host, which nobody decided on.
+            boolean good = now < peer.sendUntil && born == peer.born && at.equals(peer.at);
+            boolean wanted = next.ended.wanted();
+            if (!good || !wanted || now >= next.leaveBy) {
                 next.end(Outcome.UNUSED, null);
-                channel.close();
+                if (good && !wanted && channel.isActive()) {
+                    idleSince = now;  // it was paid for, and carried nothing that could still be answered
+                    peer.idle.push(this);
+                } else {
+                    channel.close();
+                }
                 return;
             }
             fresh = !used;
--- a/src/main/java/mastdrift/net/HttpTransport.java
+++ b/src/main/java/mastdrift/net/HttpTransport.java
@@ -46,6 +46,11 @@
                         given ? LoadReports.parse(answer.headers().get("Endpoint-Load-Metrics")) : LoadReport.NONE);
             }
 
+            @Override
+            public boolean wanted() {
+                return ended.wanted();
+            }
+
             @Override
             public void connected() {
                 ended.step();
--- a/src/main/java/mastdrift/net/Tallying.java
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -133,6 +133,11 @@
                 ended.ended(outcome, answer, report);
             }
 
+            @Override
+            public boolean wanted() {
+                return ended.wanted();
+            }
+
             @Override
             public void step() {
                 second.add(Count.OPENED);
--- a/src/main/java/mastdrift/net/Tracing.java
+++ b/src/main/java/mastdrift/net/Tracing.java
@@ -137,6 +137,11 @@
                 ended.ended(outcome, answer, report);
             }
 
+            @Override
+            public boolean wanted() {
+                return ended.wanted();
+            }
+
             @Override
             public void step() {
                 tellState(id, Step.Kind.OPENED, number, uid);
