A stop answers what crosses with it: unread, in parts, behind others, at short deadlines

Seen, by a test that forces each crossing, against the program as it stood: 'an answer, and no reset ==> expected: not <null>' for a request that stands unread when idle connections are closed (5 of 5: on a used, silent, dormant connection, and the rest of one of which a part had come) and for the rest of one that comes just after; 'expected: <null> but was: <close>' for a request read behind another; 'a client that is asking all the while is told when to go ==> expected: <close> but was: <null>' with deadlines of 0.3 s, where a kill may come 1 s after SIGTERM and connections stayed open for 1.5 s; 'expected: <200> but was: <504>' a second after a look that took exactly 16 connections; a stop told ahead of listening never ended.

Causes: ClientSide.closeIdle closed connections with a part of a request, and did not look at what stood unread; write said close while requests waited behind; stop took its span from its argument alone, not from the deadlines; Queue took a full look for an unfinished one for ever; Main listened before the hook that hears SIGTERM stood, and the loop's thread could see no listener yet.

Change: before a connection is closed that is owed nothing, here or when it has been silent or idle too long, what stands unread there is read; parts may be completed until all is answered; the last answer says close, and what is unread by then is read and let go, so that the end is no reset; serving ends with the answers' time where that is sooner; a wait that finds nobody empties the queue, unless accepting had paused; the hook stands before the first client; SIGHUPs are heard one at a time. Not forced by a test: two SIGHUPs at once, and an answer that is still being taken when idle connections close.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -101,9 +101,9 @@
     private final PhaseBounds bounds;
     private final Connections<Connection> connections;
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
-    private Channel server;
+    private volatile Channel server;  // from before it accepts anybody
     private boolean queueSeen = true;  // to its end, by the last look at the system's queue of new connections
-    private long acceptedIn;  // the last turn that found somebody there
+    private long acceptedIn;  // the last turn that found somebody there, or in which accepting went on after a pause
     private long queuedSince;  // the earliest moment at which what is taken from it now may have come
     private boolean stopping;
     private boolean closing;
@@ -151,6 +151,11 @@
         return awake ? connections.size() - bare : bare;
     }
 
+    /** Whether nobody can connect any more; on the loop's thread. */
+    boolean closed() {
+        return server != null && !server.isOpen();
+    }
+
     /** Requests that are only counted, on all connections; on the loop's thread. */
     int counted() {
         int[] all = new int[1];
@@ -171,7 +176,6 @@
                         channel.pipeline().addLast(new Connection(channel));
                     }
                 }).bind(at);
-        server = bound.channel();
         loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return bound;
     }
@@ -183,15 +187,20 @@
         stopping = true;
         answerBy = ledger.now() + STOP_ANSWERED
                 + Math.min(longest, classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0));
-        loop.schedule(() -> closeServer(ledger.turn()), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> {
+        stopped = then;
+        if (server == null) {  // told so before it listened: now it never will
             closing = true;
-            closeIdle();
-            stopped = then;
             checkStopped();
-        }, Math.min(STOP_SERVING_MILLIS, (longest + STOP_ANSWERED) / 1_000), TimeUnit.MILLISECONDS);
+            return;
+        }
+        loop.schedule(() -> closeServer(ledger.turn()), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+        // With short deadlines the program may be killed sooner than that.
         long answered = answerBy - ledger.now();
-        loop.schedule(() -> connections.each(Phase.BUSY, Connection::end), answered, TimeUnit.MICROSECONDS);
+        loop.schedule(this::endServing, Math.min(STOP_SERVING_MILLIS * 1_000, answered), TimeUnit.MICROSECONDS);
+        loop.schedule(() -> {
+            connections.each(Phase.BUSY, Connection::end);
+            List.of(Phase.SILENT, Phase.PART).forEach(phase -> closeUnasked(phase, true));  // what lacks its rest has had its time
+        }, answered, TimeUnit.MICROSECONDS);
         // Whoever is still there then is worth a line: the program may be killed next.
         loop.schedule(this::sayWaiting, answered + STOP_SAID, TimeUnit.MICROSECONDS);
     }
@@ -199,7 +208,7 @@
     /** Who waits in the system's queue of new connections has been taken, and closing the listener would reset them: only once the wait of a turn behind
         {@code since} has found nobody there, or when all is answered anyway. */
     private void closeServer(long since) {
-        boolean empty = ledger.turn() > since && acceptedIn < ledger.turn() && queueSeen && server.config().isAutoRead();
+        boolean empty = ledger.turn() > since && acceptedIn < ledger.turn() && queueEmpty() && server.config().isAutoRead();
         if (empty || ledger.turn() == 0 || ledger.now() >= answerBy) {
             server.close();
         } else {
@@ -220,10 +229,16 @@
         }
     }
 
-    private void closeIdle() {
-        for (Phase phase : List.of(Phase.SILENT, Phase.PART, Phase.IDLE, Phase.DORMANT)) {
-            connections.each(phase, Connection::close);
-        }
+    /** From here on each connection ends with its next answer, and those that are owed none end now. One with a part of a request goes on: the rest of
+        it is on its way. */
+    void endServing() {
+        closing = true;
+        List.of(Phase.SILENT, Phase.IDLE, Phase.DORMANT).forEach(phase -> closeUnasked(phase, false));
+        checkStopped();
+    }
+
+    private void closeUnasked(Phase phase, boolean parts) {
+        connections.each(phase, connection -> connection.closeUnasked(phase, parts));
     }
 
     private void closeOverdue() {
@@ -236,12 +251,20 @@
 
         private int accepted;
 
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            server = context.channel();
+            if (stopping) {
+                server.close();
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object child) {
-            acceptedIn = ledger.turn();
-            if (accepted++ == 0 && queueSeen) {
+            if (accepted++ == 0 && queueEmpty()) {
                 queuedSince = ledger.arrived();
             }
+            acceptedIn = ledger.turn();
             context.fireChannelRead(child);
         }
 
@@ -253,6 +276,20 @@
         }
     }
 
+    /** Whether nobody was left in the system's queue by the last wait, but for who has come since: a look came to its end, or, where it found as many as
+        are taken at a time, the wait of a turn behind it has found nobody. */
+    private boolean queueEmpty() {
+        return queueSeen || ledger.turn() > acceptedIn + 1;
+    }
+
+    private void goOnAccepting() {
+        if (!server.config().isAutoRead()) {
+            queueSeen = false;  // whoever is there may have come during the pause
+            acceptedIn = ledger.turn();
+            server.config().setAutoRead(true);
+        }
+    }
+
     private boolean makeRoom(Connections.Entry<Connection> newcomer) {
         Connection gives = connections.givesWay(newcomer);
         if (gives != null) {
@@ -272,7 +309,7 @@
     }
 
     private void checkStopped() {
-        if (stopped != null && connections.size() == 0) {
+        if (closing && stopped != null && connections.size() == 0) {
             stopped.run();
         }
     }
@@ -310,6 +347,7 @@
         private Exchange exchange;
         private String id;
         private boolean read;
+        private boolean finished;  // its last answer is out
         private long openedIn;  // the turn
         private long openedSince;  // the earliest moment at which it may have been there
 
@@ -338,6 +376,17 @@
                 decoder = null;
                 waiting = null;
             } else {
+                closeUnasked(phase, true);
+            }
+        }
+
+        /** Closes it in a phase in which it is owed no answer, unless what stands unread there changes that: a request that was there before the close
+            would be reset by it. Where a part of one has come, if {@code parts} alone. */
+        private void closeUnasked(Phase phase, boolean parts) {
+            if (entry.phase() == phase) {
+                Look.at(channel);
+            }
+            if (entry.phase() == phase && (parts || decoder == null || decoder.isEmpty())) {
                 close();
             }
         }
@@ -361,7 +410,7 @@
             }
             open.remove(id);
             if (connections.size() <= most) {
-                server.config().setAutoRead(true);
+                goOnAccepting();
             }
             if (waiting != null) {
                 dropWaiting();
@@ -385,6 +434,10 @@
 
         /** Takes over the message. */
         private void arrived(FullHttpRequest message) {
+            if (finished) {
+                message.release();
+                return;
+            }
             read = true;
             // What the first wait after the accept finds may have been there as long as the connection.
             long at = ledger.turn() == openedIn + 1 ? Math.min(openedSince, ledger.arrived()) : ledger.arrived();
@@ -426,7 +479,7 @@
         /** What was read without a whole request coming of it is a part of one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            if (!read && current == null) {
+            if (!read && current == null && !finished) {
                 // Where silence ends as soon, that bound goes on: what trickles in must not gain by its first byte.
                 boolean goesOn = entry.phase() == Phase.SILENT && bounds.silent() <= bounds.whole();
                 connections.moved(ledger.now(), entry, goesOn ? Phase.SILENT : Phase.PART);
@@ -438,7 +491,9 @@
             if (arrived == null) {
                 channel.config().setAutoRead(true);
                 connections.moved(ledger.now(), entry, decoder.isEmpty() ? Phase.IDLE : Phase.PART);
-                if (connections.size() > most) {  // or accepting, once paused, would never go on
+                if (closing && entry.phase() == Phase.IDLE) {
+                    close();  // its answer was on the way when the others were closed
+                } else if (connections.size() > most) {  // or accepting, once paused, would never go on
                     makeRoom(null);
                 }
                 return;
@@ -598,7 +653,9 @@
             exchange = null;
             open.remove(id);
             id = null;
-            boolean keep = !close && !closing && HttpUtil.isKeepAlive(current);
+            // At a stop the connection ends with the last answer that it is owed.
+            boolean more = counted > 0 || waiting != null && !waiting.isEmpty();
+            boolean keep = !close && (more || !closing) && HttpUtil.isKeepAlive(current);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keep);
             connections.moved(ledger.now(), entry, Phase.UNREAD);
@@ -607,11 +664,24 @@
                 if (keep && done.isSuccess()) {
                     next(poll());
                 } else {
-                    close();
+                    finish();
                 }
             });
         }
 
+        /** Ends it behind its last answer. What stands unread there by now would make a reset of the end, and that may take the answer with it: it is
+            read, and let go. */
+        private void finish() {
+            finished = true;
+            if (waiting != null) {
+                dropWaiting();
+            }
+            loop.execute(() -> {
+                Look.at(channel);
+                close();
+            });
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             boolean clients = cause instanceof IOException || cause instanceof CodecException;
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -56,10 +56,11 @@
             Started now = prepare(config, timed, tally, System.out);  // asks discovery, whose answer takes its time
             rehearse(config, TimedLoop.start(), () -> !now.gateway().told().isDone(), System.out::println);
             awaitList(now.gateway(), System.out);
-            listen(now, config, System.out);
+            // Ahead of the first client: a signal between the two would end the program, and with it what had been taken.
             ClientSide clients = now.clients();
-            started.complete(now.gateway());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(loop, clients)));
+            listen(now, config, System.out);
+            started.complete(now.gateway());
         } catch (IllegalArgumentException | CompletionException e) {
             Throwable cause = e instanceof CompletionException ? e.getCause() : e;
             System.err.println("can't start: " + cause.getMessage());
@@ -90,8 +91,9 @@
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> then.run());
     }
 
-    /** Takes from the configuration where discovery is; one that can't be read changes nothing. */
-    private static void reload(Gateway gateway, EventLoop loop) {
+    /** Takes from the configuration where discovery is; one that can't be read changes nothing. Signals come on threads of their own: one at a time, or what
+        was read first might be taken last. */
+    private static synchronized void reload(Gateway gateway, EventLoop loop) {
         try {
             InetSocketAddress discovery = Config.discovery(System.getenv());
             loop.execute(() -> gateway.discoverAt(discovery));
