Watches take lists that come indented, and an agent that pushes is asked again in time

Seen, by tests that force each crossing, against the program as it stood: 'never came true' and 'Broken pipe' for a list over several lines on a watch (4 of 5 layouts: the first line alone was parsed, 'odd answer', and so again on every watch, for good); 'the longest pause: 2978000' us between calls to an agent that pushes, for a grace of 250000, though what it hears at its source's return counts as told at once; 'nothing came': its calls were waited for as those of a discovery that has turns. Ruled out (passed before): a change cut off, one that comes with the end of its watch, a drain told while a repeat waits.

Cause: Discovery.Call.read took every line for a value; the constants of a discovery that is asked (TURN_MILLIS, the doubled pauses of Balance.hosts) held where lists are pushed too, a setting that bled.

Change: JsonLines finds the end of a value by its brackets; an empty line, or a line's end within a string, ends what was cut off, which the parser refuses as before. Where lists are pushed a call has 1 s and the next one follows after a quarter of the drains' grace on the mean, 250 ms at the most, never doubled.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -88,7 +88,8 @@
     private static final int ASK_SPREAD = 20;
     private static final int ASK_LEAST = 40;
     private static final int ASK_DOUBLED = 3;
-    private static final long ASK_PAUSE = 250_000;      // likewise where the registry pushes
+    private static final long ASK_PAUSE = 250_000;      // likewise, at the least
+    private static final long ASK_SOON = 10_000;        // likewise where the registry pushes
     private static final String TIMER = "refresh";
     private static final String ASK = "ask";
 
@@ -1207,10 +1208,11 @@
     @Override
     public void hosts(long now, ListForm form, List<Host> hosts) {
         if (form == ListForm.FAILED) {
-            // What was listed counts as told some seconds later, heard or not: soon again, then more seldom;
-            // from half of the mean to 1.5 times, or gateways that failed together would ask together.
+            // Told seconds later, heard or not: soon again, then more seldom; spread, or who failed together
+            // would ask together. What an agent hears once it is back counts at once: within the grace.
             long least = Math.max(ASK_PAUSE, settings.rules().mustAskIn() / ASK_LEAST);
-            long mean = least << Math.min(ASK_DOUBLED, askFailures++);
+            long mean = settings.registryOnRequest() ? least << Math.min(ASK_DOUBLED, askFailures++)
+                    : Math.max(ASK_SOON, Math.min(ASK_PAUSE, settings.rules().drainGrace() / 4));
             actions.timer(now + 1 + mean / 2 + random.nextLong(mean + 1), ASK);
             return;
         }
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -40,6 +40,8 @@
     // Calls wait for their turn, for some seconds; a watch that has begun has an empty line every 2 s at least.
     // What is listed while a watch is silent counts as told 6 s later, so that this and one call after it have to fit in.
     private static final int TURN_MILLIS = 3500;
+    // An agent of the gateway's own machine has no turns: it answers at once, or is silent while it hears nothing itself.
+    private static final int AGENT_TURN_MILLIS = 1000;
     private static final int SILENCE_MILLIS = 2500;
     // After a move, what discovery tells has to be heard within 4 s: for so long a call is repeated soon, and its failure
     // is one of the move and not told.
@@ -52,6 +54,7 @@
 
     private final EventLoop loop;
     private InetSocketAddress at;
+    private final int turnMillis;
     private final Consumer<HostList> lists;
     private final Consumer<String> failures;
     private final Clock clock = Clock.system();
@@ -61,9 +64,15 @@
     private Channel fetch;
     private long movedAt = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MOVE_MILLIS);
 
-    /** Hears lists and failures on the loop's thread; {@code known} is the list in force already. */
+    /** Hears lists and failures on the loop's thread; {@code known} is the list in force already. Calls may have to wait for their turn. */
     public Discovery(EventLoop loop, InetSocketAddress at, HostList known, Consumer<HostList> lists, Consumer<String> failures) {
+        this(loop, at, false, known, lists, failures);
+    }
+
+    /** Likewise, where lists are {@code pushed}: calls are answered at once. */
+    Discovery(EventLoop loop, InetSocketAddress at, boolean pushed, HostList known, Consumer<HostList> lists, Consumer<String> failures) {
         this.loop = loop;
+        turnMillis = pushed ? AGENT_TURN_MILLIS : TURN_MILLIS;
         this.at = at;
         guard = new ListGuard(known.rev(), !known.entries().isEmpty());
         this.lists = lists;
@@ -169,7 +178,9 @@
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
 
         private final boolean watching;
+        private final JsonLines lines = new JsonLines();
         private ByteBuf text;
+        private int looked;  // so many bytes of it are known to hold no end
         private Future<?> due;  // when the next whole line has to be there: bytes alone are no sign of life
         private boolean over;
         private String cause = "the connection ended";
@@ -181,7 +192,7 @@
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
             text = context.alloc().heapBuffer();
-            expect(context, moving() ? MOVE_TURN_MILLIS : TURN_MILLIS);
+            expect(context, moving() ? Math.min(MOVE_TURN_MILLIS, turnMillis) : turnMillis);
         }
 
         private void expect(ChannelHandlerContext context, long millis) {
@@ -217,10 +228,14 @@
         }
 
         private void read(ChannelHandlerContext context, boolean last) throws IOException {
-            for (int end = text.bytesBefore((byte) '\n'); watching && end >= 0; end = text.bytesBefore((byte) '\n')) {
-                take(end);
-                text.skipBytes(1);
-                expect(context, SILENCE_MILLIS);
+            while (watching && looked < text.readableBytes()) {
+                if (lines.ends(text.getByte(text.readerIndex() + looked++))) {
+                    int length = looked - 1;
+                    looked = 0;
+                    take(length);
+                    text.skipBytes(1);
+                    expect(context, SILENCE_MILLIS);
+                }
             }
             if (last && !watching) {
                 take(text.readableBytes());
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -53,7 +53,7 @@
             failures = tallying.failures(failures);
         }
         pool = new Pool("hosts", ledger, module, config.settings(), hosts);
-        discovery = new Discovery(loop, config.discovery(), config.known(), lists, failures);
+        discovery = new Discovery(loop, config.discovery(), !config.settings().registryOnRequest(), config.known(), lists, failures);
         pool.start(source, config.known().entries());
         logList(config.known());
         if (!config.settings().registryOnRequest()) {
--- a/src/test/java/mastdrift/EdgeTest.java
+++ b/src/test/java/mastdrift/EdgeTest.java
@@ -10,7 +10,9 @@
 import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Repeat;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -117,6 +119,29 @@
         assertTrue(first.get(11) - first.get(2) > 60_000, "spread: " + first);
     }
 
+    /** What an agent gets when its source is back counts as told in that moment: however long it was silent, and however often it failed, it is asked
+        again within the grace of a drain, and gateways don't ask together. */
+    @Test
+    void anAgentThatPushesIsAskedAgainWithinTheGrace() {
+        Set<Long> waits = new HashSet<>();
+        for (int i = 0; i < 14; i++) {
+            Gateway gateway = new Gateway();
+            gateway.seed = i;
+            gateway.start(2);
+            for (int failures = 1; failures <= 12; failures++) {
+                gateway.module.hosts(gateway.now, ListForm.FAILED, List.of());
+                long since = gateway.now;
+                while (gateway.watches < failures) {
+                    gateway.advance(1_000);
+                }
+                waits.add(gateway.now - since);
+            }
+        }
+        long most = waits.stream().mapToLong(wait -> wait).max().orElseThrow();
+        assertTrue(most <= new Gateway().settings().rules().drainGrace() / 2, "the longest pause: " + most);
+        assertTrue(waits.size() > 10, "spread: " + waits);
+    }
+
     @Test
     void impossibleSettingsAreNamed() {
         Gateway gateway = new Gateway();
--- /dev/null
+++ b/src/test/java/mastdrift/net/WatchCrossingTest.java
@@ -0,0 +1,165 @@
+package mastdrift.net;
+
+import static mastdrift.net.Loopback.SETTINGS;
+import static mastdrift.net.Loopback.await;
+import static mastdrift.net.Loopback.discovery;
+import static mastdrift.net.Loopback.entry;
+import static mastdrift.net.Loopback.environment;
+import static mastdrift.net.Loopback.eventually;
+import static mastdrift.net.Loopback.host;
+import static mastdrift.net.Loopback.list;
+import static mastdrift.net.Loopback.read;
+import static mastdrift.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import mastdrift.net.Loopback.Message;
+import mastdrift.net.Loopback.Node;
+import mastdrift.net.Loopback.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What may cross with a change of the list: how it is laid out and cut, the end of its watch, an agent that is silent, repeats that wait meanwhile. */
+class WatchCrossingTest {
+
+    @TempDir
+    private Path folder;
+
+    private static String up(String uid, Server host) {
+        return entry(uid, host.address(), "a", "in_service");
+    }
+
+    private static void part(Socket watch, String text) throws IOException {
+        synchronized (watch) {
+            write(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        }
+    }
+
+    private static String log(Node node) {
+        return node.log.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String laidOut(String list, String how) throws IOException {
+        return switch (how) {
+            case "pretty" -> JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(JSON.std.anyFrom(list));
+            case "lines" -> list.replace(",\"", ",\n\"").replace("[{", "[\n{").replace(",{", ",\n{");  // over lines, with nothing ahead of them
+            case "crlf" -> JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(JSON.std.anyFrom(list)).replace("\n", "\r\n");
+            default -> "    " + list;
+        };
+    }
+
+    /** A list may come indented: on a watch too, over many lines, whole, as a change, and in pieces of any size. */
+    @ParameterizedTest
+    @CsvSource({"spaces,1000", "pretty,1000", "pretty,1", "lines,7", "crlf,3"})
+    void anIndentedListIsTaken(String how, int piece) throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Message watch = await(discovery.received);
+            String odd = "a \\\" { [ \\\\ odd zone";  // what looks like an end or a begin, within a string
+            String text = laidOut(list(7, true, up("s1", one), entry("s2", two.address(), odd, "in_service")), how).strip() + "\n\n"
+                    + laidOut(list(8, false, entry("s1", one.address(), "a", "terminating")), how).strip() + "\n";
+            for (int i = 0; i < text.length(); i += piece) {
+                part(watch.socket(), text.substring(i, Math.min(text.length(), i + piece)));
+            }
+            eventually(() -> log(node).contains("list 8: 1 changes"));
+            assertTrue(log(node).contains("list 7: 2 hosts"), log(node));
+            assertEquals("two", node.ask(read(20_000)).text());
+            assertTrue(discovery.received.isEmpty() && !log(node).contains("failed"), log(node));
+        }
+    }
+
+    /** A change that is cut off within a string, between two tokens, or by the end of its watch is no change, and what comes behind is not taken for its
+        rest: the list is asked for again, from the version in force. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"string | line", "tokens | line", "string | end", "tokens | end"})
+    void aChangeThatIsCutOffIsNone(String where, String then) throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Message watch = await(discovery.received);
+            Loopback.tell(watch.socket(), list(7, true, up("s1", one), up("s2", two)));
+            String change = list(8, false, entry("s1", one.address(), "a", "terminating"));
+            int cut = where.equals("string") ? change.indexOf("endpoint") + 3 : change.indexOf("\"targets");
+            part(watch.socket(), change.substring(0, cut));
+            if ("end".equals(then)) {
+                watch.socket().close();
+            } else {
+                part(watch.socket(), (where.equals("string") ? "\n" : "\n\n") + list(9, false, entry("s2", two.address(), "a", "terminating")) + "\n");
+            }
+            Message next = await(discovery.received);
+            assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", next.line());
+            assertTrue(!log(node).contains("list 8") && !log(node).contains("list 9"), log(node));
+        }
+    }
+
+    /** Told in the last bytes of a watch that ends with them, a change is in force. */
+    @Test
+    void aChangeThatCameWithTheEndOfItsWatchIsTaken() throws Exception {
+        try (Server discovery = discovery(); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one), up("s2", two)), SETTINGS))) {
+            Message watch = await(discovery.received);
+            String change = list(7, false, entry("s1", one.address(), "a", "terminating")) + "\n";
+            synchronized (watch.socket()) {
+                write(watch.socket(), Integer.toHexString(change.length()) + "\r\n" + change + "\r\n0\r\n\r\n");
+                watch.socket().close();
+            }
+            assertEquals("GET /v1/endpoints?watch=1&from=7 HTTP/1.1", await(discovery.received).line());
+            for (int i = 0; i < 10; i++) {
+                assertEquals("two", node.ask(read(20_000)).text());
+            }
+        }
+    }
+
+    /** An agent that is silent since its own source is down is asked again and again, each call with little time; what it says once it speaks is in force at once. */
+    @Test
+    void aSilentAgentIsAskedAgainSoon() throws Exception {
+        String pushed = SETTINGS.replace("\"registry_mode\":\"on_request\"", "\"registry_mode\":\"pushed\"");
+        try (Server agent = new Server(message -> { }); Server one = host("one"); Server two = host("two");
+                Node node = new Node(environment(folder, agent, list(1, true, up("s1", one)), pushed))) {
+            await(agent.received);
+            long since = System.nanoTime();
+            for (int calls = 0; calls < 4; calls++) {
+                await(agent.received);
+            }
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
+            assertTrue(millis < 10_000, "four calls took " + millis + " ms");  // some 4.3 s; 19 s by the times of a discovery that has turns
+            Socket last = agent.accepted.get(agent.accepted.size() - 1);
+            write(last, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Loopback.tell(last, list(5, true, up("s2", two)));
+            eventually(() -> log(node).contains("list 5") || agent.received.poll() != null);
+        }
+    }
+
+    /** The drain is told while an attempt dials, and while a request that was turned away elsewhere has its repeat: after the grace neither host gets anything. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aDrainToldWhileARepeatWaitsIsKept(boolean all) throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        try (Server discovery = discovery(); Server two = host("two");
+                Server one = new Server(message -> {
+                    told.await(Loopback.WAIT_SECONDS, TimeUnit.SECONDS);
+                    write(message.socket(), "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+                });
+                Node node = new Node(environment(folder, discovery, list(1, true, up("s1", one)), SETTINGS))) {
+            Message watch = await(discovery.received);
+            Socket client = node.connect();
+            write(client, read(20_000));
+            await(one.received);
+            Loopback.tell(watch.socket(), list(2, all, up("s1", one), up("s2", two)));
+            Loopback.tell(watch.socket(), all ? list(3, true, up("s1", one)) : list(3, false, entry("s2", two.address(), "a", "terminating")));
+            eventually(() -> log(node).contains("list 3"));
+            told.countDown();
+            assertEquals(503, Loopback.read(client).status());
+            assertTrue(two.received.isEmpty());
+        }
+    }
+}
