An answer is never taken for the next request's: connections rest and are looked at

Cause: HostPool.takeIdle took the most recently used connection, however recently, by what the last turn had read of it; channelRead0 believed an answer whose request was not written yet.

Change: an idle connection is looked at before the next request is written to it, and rests for 25 ms after an answer, since a second one may come some milliseconds late; another one is taken or dialled meanwhile. A 200 ahead of the request's last byte is a dropped attempt.

--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -31,6 +31,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -62,6 +63,9 @@
     // An answer of this size has come at once but for a lost packet, which is sent again after 200 ms: one that stalls
     // for longer won't end.
     private static final long STALL = 250_000;
+    // A host may send a second answer some milliseconds behind the first (STANDING, join): on a connection that carries the next request by then it would pass
+    // for that one's. So a connection rests for several times as long.
+    static final long REST = 25_000;
     private static final long SWEEP = 250_000;  // idle connections are looked through so often
     private static final int INTERIM_MOST = 16;  // 1xx answers ahead of the real one
 
@@ -245,7 +249,13 @@
     private Connection takeIdle(Peer peer) {
         long now = clock.getAsLong();
         long most = keep.most(now);
-        for (Connection idle = peer.idle.poll(); idle != null; idle = peer.idle.poll()) {
+        for (Iterator<Connection> idles = peer.idle.iterator(); idles.hasNext(); ) {
+            Connection idle = idles.next();
+            if (idle.used && now - idle.idleSince < REST) {
+                continue;
+            }
+            idles.remove();
+            Look.at(idle.channel);  // its end, or more than an answer, may stand there unread
             if (idle.channel.isActive() && now - idle.idleSince < most) {
                 return idle;
             }
@@ -398,6 +408,7 @@
         private Attempt attempt;
         private boolean answered;
         private boolean used;
+        private boolean idling;  // it is offered, or was until just now
         private boolean fresh;  // what is on it is the first
         private int interim;
         private long idleSince;
@@ -419,8 +430,8 @@
             if (!good || !wanted || now >= next.leaveBy) {
                 next.end(Outcome.UNUSED, null);
                 if (good && !wanted && channel.isActive()) {
-                    idleSince = now;  // it was paid for, and carried nothing that could still be answered
-                    peer.idle.push(this);
+                    idleSince = now;
+                    rest();  // it was paid for, and carried nothing that could still be answered
                 } else {
                     channel.close();
                 }
@@ -428,6 +439,7 @@
             }
             fresh = !used;
             used = true;
+            idling = false;
             attempt = next;
             next.connection = this;
             next.sending = true;
@@ -440,6 +452,11 @@
             });
         }
 
+        private void rest() {
+            idling = true;
+            peer.idle.push(this);
+        }
+
         private void tell(Ended of) {
             CountedChannel counted = (CountedChannel) channel;
             of.passed(counted.sent() - toldSent, counted.received() - toldReceived);
@@ -466,7 +483,9 @@
                 channel.close();
             }
             if (mine != null) {
-                Outcome outcome = whole ? outcome(answer) : Outcome.DROPPED;
+                // A host begins with a request's last byte: what it says was served ahead of that is an answer to something else.
+                boolean early = answer.status().code() == 200 && !mine.written;
+                Outcome outcome = whole && !early ? outcome(answer) : Outcome.DROPPED;
                 if (fresh) {
                     keep.opened(idleSince, outcome == Outcome.SHED);
                 } else {
@@ -488,8 +507,8 @@
             } else if (answered && !answers.midway() && peer.sendUntil == Long.MAX_VALUE && at.equals(peer.at)
                     && born == peer.born) {
                 interim = 0;
-                peer.idle.push(this);
-            } else {
+                rest();
+            } else if (!idling || answers.midway()) {  // else it was looked at, and nothing stood there
                 channel.close();
             }
             answered = false;
--- a/src/test/java/mastdrift/net/HostPoolTest.java
+++ b/src/test/java/mastdrift/net/HostPoolTest.java
@@ -82,7 +82,9 @@
         return pool.send(uid, message, LONG, LEAVE, (outcome, answer) -> outcomes.add(outcome));
     }
 
+    /** Of a send on connections that have rested. */
     private Outcome outcome(HostPool pool, String uid) throws Exception {
+        clock.addAndGet(HostPool.REST);
         onLoop(() -> send(pool, uid));
         return await(outcomes);
     }
