--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -67,7 +68,15 @@
     private static final int BACKLOG = 1024;
     // Connections that are taken from the system's queue in one turn: more would hold up everybody else.
     private static final int ACCEPTED_MOST = 16;
+    // Behind the current request so many are kept, and so many more are counted, to be refused in their turn. Reading goes on all the while, or
+    // the end of a connection would not be heard while its requests wait to be sent on.
     private static final int PIPELINED_MOST = 8;
+    static final int COUNTED_MOST = 1_024;
+    // Stands for one of those that were only counted.
+    private static final FullHttpRequest COUNTED = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "", Unpooled.EMPTY_BUFFER);
+    // What may have waited for longer than this before it was read may have a client that has left since, whose end stands behind it and would be read
+    // one turn later: then that is looked for first. Twice the loop's longest wait, so that it costs nothing while the loop keeps up.
+    private static final long LOOK_AFTER = 100_000;
     // At a stop, new connections go on coming for a while before the front has noticed.
     private static final long STOP_ACCEPTING_MILLIS = 500;
     // For so long clients are served on the connections that they have, since other gateways may be away as well; and
@@ -92,9 +101,9 @@
     private final PhaseBounds bounds;
     private final Connections<Connection> connections;
     private final Set<String> open = new HashSet<>();  // the ids of requests that are not answered yet
-    private Channel server;
+    private volatile Channel server;  // from before it accepts anybody
     private boolean queueSeen = true;  // to its end, by the last look at the system's queue of new connections
-    private long acceptedIn;  // the last turn that found somebody there
+    private long acceptedIn;  // the last turn that found somebody there, or in which accepting went on after a pause
     private long queuedSince;  // the earliest moment at which what is taken from it now may have come
     private boolean stopping;
     private boolean closing;
@@ -142,6 +151,18 @@
         return awake ? connections.size() - bare : bare;
     }
 
+    /** Whether nobody can connect any more; on the loop's thread. */
+    boolean closed() {
+        return server != null && !server.isOpen();
+    }
+
+    /** Requests that are only counted, on all connections; on the loop's thread. */
+    int counted() {
+        int[] all = new int[1];
+        connections.each(Phase.BUSY, connection -> all[0] += connection.counted);
+        return all[0];
+    }
+
     /** Binds; whether that went well is in the future. */
     public ChannelFuture listen(InetSocketAddress at) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -155,7 +176,6 @@
                         channel.pipeline().addLast(new Connection(channel));
                     }
                 }).bind(at);
-        server = bound.channel();
         loop.scheduleWithFixedDelay(this::closeOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return bound;
     }
@@ -167,15 +187,20 @@
         stopping = true;
         answerBy = ledger.now() + STOP_ANSWERED
                 + Math.min(longest, classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0));
-        loop.schedule(() -> closeServer(ledger.turn()), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> {
+        stopped = then;
+        if (server == null) {  // told so before it listened: now it never will
             closing = true;
-            closeIdle();
-            stopped = then;
             checkStopped();
-        }, Math.min(STOP_SERVING_MILLIS, (longest + STOP_ANSWERED) / 1_000), TimeUnit.MILLISECONDS);
+            return;
+        }
+        loop.schedule(() -> closeServer(ledger.turn()), STOP_ACCEPTING_MILLIS, TimeUnit.MILLISECONDS);
+        // With short deadlines the program may be killed sooner than that.
         long answered = answerBy - ledger.now();
-        loop.schedule(() -> connections.each(Phase.BUSY, Connection::end), answered, TimeUnit.MICROSECONDS);
+        loop.schedule(this::endServing, Math.min(STOP_SERVING_MILLIS * 1_000, answered), TimeUnit.MICROSECONDS);
+        loop.schedule(() -> {
+            connections.each(Phase.BUSY, Connection::end);
+            List.of(Phase.SILENT, Phase.PART).forEach(phase -> closeUnasked(phase, true));  // what lacks its rest has had its time
+        }, answered, TimeUnit.MICROSECONDS);
         // Whoever is still there then is worth a line: the program may be killed next.
         loop.schedule(this::sayWaiting, answered + STOP_SAID, TimeUnit.MICROSECONDS);
     }
@@ -183,7 +208,7 @@
     /** Who waits in the system's queue of new connections has been taken, and closing the listener would reset them: only once the wait of a turn behind
         {@code since} has found nobody there, or when all is answered anyway. */
     private void closeServer(long since) {
-        boolean empty = ledger.turn() > since && acceptedIn < ledger.turn() && queueSeen && server.config().isAutoRead();
+        boolean empty = ledger.turn() > since && acceptedIn < ledger.turn() && queueEmpty() && server.config().isAutoRead();
         if (empty || ledger.turn() == 0 || ledger.now() >= answerBy) {
             server.close();
         } else {
@@ -204,10 +229,16 @@
         }
     }
 
-    private void closeIdle() {
-        for (Phase phase : List.of(Phase.SILENT, Phase.PART, Phase.IDLE, Phase.DORMANT)) {
-            connections.each(phase, Connection::close);
-        }
+    /** From here on each connection ends with its next answer, and those that are owed none end now. One with a part of a request goes on: the rest of
+        it is on its way. */
+    void endServing() {
+        closing = true;
+        List.of(Phase.SILENT, Phase.IDLE, Phase.DORMANT).forEach(phase -> closeUnasked(phase, false));
+        checkStopped();
+    }
+
+    private void closeUnasked(Phase phase, boolean parts) {
+        connections.each(phase, connection -> connection.closeUnasked(phase, parts));
     }
 
     private void closeOverdue() {
@@ -220,12 +251,20 @@
 
         private int accepted;
 
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            server = context.channel();
+            if (stopping) {
+                server.close();
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object child) {
-            acceptedIn = ledger.turn();
-            if (accepted++ == 0 && queueSeen) {
+            if (accepted++ == 0 && queueEmpty()) {
                 queuedSince = ledger.arrived();
             }
+            acceptedIn = ledger.turn();
             context.fireChannelRead(child);
         }
 
@@ -237,6 +276,20 @@
         }
     }
 
+    /** Whether nobody was left in the system's queue by the last wait, but for who has come since: a look came to its end, or, where it found as many as
+        are taken at a time, the wait of a turn behind it has found nobody. */
+    private boolean queueEmpty() {
+        return queueSeen || ledger.turn() > acceptedIn + 1;
+    }
+
+    private void goOnAccepting() {
+        if (!server.config().isAutoRead()) {
+            queueSeen = false;  // whoever is there may have come during the pause
+            acceptedIn = ledger.turn();
+            server.config().setAutoRead(true);
+        }
+    }
+
     private boolean makeRoom(Connections.Entry<Connection> newcomer) {
         Connection gives = connections.givesWay(newcomer);
         if (gives != null) {
@@ -256,7 +309,7 @@
     }
 
     private void checkStopped() {
-        if (stopped != null && connections.size() == 0) {
+        if (closing && stopped != null && connections.size() == 0) {
             stopped.run();
         }
     }
@@ -278,8 +331,8 @@
         }
     }
 
-    /** A request, and since when it may have waited. */
-    private record Arrived(FullHttpRequest message, long at) { }
+    /** A request, since when it may have waited, and the turn in which it was read. */
+    private record Arrived(FullHttpRequest message, long at, long turn) { }
 
     /** One client's connection. While it says nothing it is all that the pipeline has: what reads and writes HTTP is put ahead of it
         by the first byte, and taken out again once the connection has been idle for a while. */
@@ -289,10 +342,12 @@
         private Connections.Entry<Connection> entry;
         private StrictDecoder decoder;  // null while there is none
         private ArrayDeque<Arrived> waiting;  // requests behind the current one, null until there is one
+        private int counted;  // behind those
         private FullHttpRequest current;
         private Exchange exchange;
         private String id;
         private boolean read;
+        private boolean finished;  // its last answer is out
         private long openedIn;  // the turn
         private long openedSince;  // the earliest moment at which it may have been there
 
@@ -321,6 +376,17 @@
                 decoder = null;
                 waiting = null;
             } else {
+                closeUnasked(phase, true);
+            }
+        }
+
+        /** Closes it in a phase in which it is owed no answer, unless what stands unread there changes that: a request that was there before the close
+            would be reset by it. Where a part of one has come, if {@code parts} alone. */
+        private void closeUnasked(Phase phase, boolean parts) {
+            if (entry.phase() == phase) {
+                Look.at(channel);
+            }
+            if (entry.phase() == phase && (parts || decoder == null || decoder.isEmpty())) {
                 close();
             }
         }
@@ -344,11 +410,10 @@
             }
             open.remove(id);
             if (connections.size() <= most) {
-                server.config().setAutoRead(true);
+                goOnAccepting();
             }
             if (waiting != null) {
-                waiting.forEach(arrived -> arrived.message.release());
-                waiting.clear();
+                dropWaiting();
             }
             if (exchange != null) {
                 exchange.departed();
@@ -369,9 +434,14 @@
 
         /** Takes over the message. */
         private void arrived(FullHttpRequest message) {
+            if (finished) {
+                message.release();
+                return;
+            }
             read = true;
             // What the first wait after the accept finds may have been there as long as the connection.
-            Arrived arrived = new Arrived(message, ledger.turn() == openedIn + 1 ? Math.min(openedSince, ledger.arrived()) : ledger.arrived());
+            long at = ledger.turn() == openedIn + 1 ? Math.min(openedSince, ledger.arrived()) : ledger.arrived();
+            Arrived arrived = new Arrived(message, at, ledger.turn());
             if (current == null) {
                 next(arrived);
                 return;
@@ -379,16 +449,37 @@
             if (waiting == null) {
                 waiting = new ArrayDeque<>(2);
             }
-            waiting.add(arrived);
-            if (waiting.size() > PIPELINED_MOST) {
+            if (counted == 0 && waiting.size() < PIPELINED_MOST) {
+                waiting.add(arrived);
+                return;
+            }
+            message.release();
+            if (++counted >= COUNTED_MOST) {  // an end would be heard no more: then nothing of this connection may wait to be sent on
                 channel.config().setAutoRead(false);
+                counted += waiting.size();
+                dropWaiting();
             }
         }
 
+        private void dropWaiting() {
+            waiting.forEach(arrived -> arrived.message.release());
+            waiting.clear();
+        }
+
+        /** The next in order; null where there is none. */
+        private Arrived poll() {
+            Arrived next = waiting == null ? null : waiting.poll();
+            if (next == null && counted > 0) {
+                counted--;
+                return new Arrived(COUNTED, ledger.now(), ledger.turn());
+            }
+            return next;
+        }
+
         /** What was read without a whole request coming of it is a part of one. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            if (!read && current == null) {
+            if (!read && current == null && !finished) {
                 // Where silence ends as soon, that bound goes on: what trickles in must not gain by its first byte.
                 boolean goesOn = entry.phase() == Phase.SILENT && bounds.silent() <= bounds.whole();
                 connections.moved(ledger.now(), entry, goesOn ? Phase.SILENT : Phase.PART);
@@ -400,15 +491,32 @@
             if (arrived == null) {
                 channel.config().setAutoRead(true);
                 connections.moved(ledger.now(), entry, decoder.isEmpty() ? Phase.IDLE : Phase.PART);
-                if (connections.size() > most) {  // or accepting, once paused, would never go on
+                if (closing && entry.phase() == Phase.IDLE) {
+                    close();  // its answer was on the way when the others were closed
+                } else if (connections.size() > most) {  // or accepting, once paused, would never go on
                     makeRoom(null);
                 }
                 return;
             }
             connections.moved(ledger.now(), entry, Phase.BUSY);
             current = arrived.message;
+            // Since it was read, an end has been heard in the turn in which it came.
+            long unheard = arrived.turn == ledger.turn() ? Math.max(ledger.now() - arrived.at, ledger.unseen()) : ledger.unseen();
+            if (unheard > LOOK_AFTER) {
+                loop.execute(() -> {  // not within the read that brought it
+                    Look.at(channel);
+                    beginNow(arrived);
+                });
+            } else {
+                beginNow(arrived);
+            }
+        }
+
+        private void beginNow(Arrived arrived) {
             try {
-                begin(arrived);
+                if (channel.isActive()) {
+                    begin(arrived);
+                }
             } finally {
                 arrived.message.release();
             }
@@ -416,6 +524,10 @@
 
         private void begin(Arrived arrived) {
             FullHttpRequest message = arrived.message;
+            if (message == COUNTED) {
+                refused(0);
+                return;
+            }
             Throwable fault = message.decoderResult().cause();
             if (fault != null) {
                 boolean body = fault instanceof TooLongFrameException && "body".equals(fault.getMessage());
@@ -469,7 +581,7 @@
                     return;
                 }
                 exchange = ledger.take(pool, this, new HttpCall(message.retain()), new Ask(type.name(), tenant, key, left,
-                        head.again(), message.method().equals(HttpMethod.POST), work, zone(), effect));
+                        head.again(), message.method().equals(HttpMethod.POST), work, zone(), effect), waited);
             }
         }
 
@@ -499,6 +611,11 @@
             return hash;
         }
 
+        @Override
+        public boolean there() {
+            return channel.isActive();
+        }
+
         @Override
         public void served(Answer given) {
             FullHttpResponse answer = ((HttpAnswer) given).message();
@@ -536,20 +653,35 @@
             exchange = null;
             open.remove(id);
             id = null;
-            boolean keep = !close && !closing && HttpUtil.isKeepAlive(current);
+            // At a stop the connection ends with the last answer that it is owed.
+            boolean more = counted > 0 || waiting != null && !waiting.isEmpty();
+            boolean keep = !close && (more || !closing) && HttpUtil.isKeepAlive(current);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keep);
             connections.moved(ledger.now(), entry, Phase.UNREAD);
             channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> {
                 current = null;
                 if (keep && done.isSuccess()) {
-                    next(waiting == null ? null : waiting.poll());
+                    next(poll());
                 } else {
-                    close();
+                    finish();
                 }
             });
         }
 
+        /** Ends it behind its last answer. What stands unread there by now would make a reset of the end, and that may take the answer with it: it is
+            read, and let go. */
+        private void finish() {
+            finished = true;
+            if (waiting != null) {
+                dropWaiting();
+            }
+            loop.execute(() -> {
+                Look.at(channel);
+                close();
+            });
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             boolean clients = cause instanceof IOException || cause instanceof CodecException;
