--- a/src/test/java/mastdrift/net/HostCrossingTest.java
+++ b/src/test/java/mastdrift/net/HostCrossingTest.java
@@ -92,6 +92,7 @@
                 } else {
                     connection.setSoLinger(what.equals("reset"), 0);
                     connection.close();
+                    await(host.ended);  // a socket that another thread reads is let go by that thread
                 }
                 send(pool, "next", 0);
                 return null;
