--- a/src/main/java/mastdrift/net/HostPool.java
+++ b/src/main/java/mastdrift/net/HostPool.java
@@ -63,7 +63,7 @@
     // An answer of this size has come at once but for a lost packet, which is sent again after 200 ms: one that stalls
     // for longer won't end.
     private static final long STALL = 250_000;
-    // A host may send a second answer some milliseconds behind the first (STANDING, join): on a connection that carries the next request by then it would pass
+    // A host may send a second answer some milliseconds behind the first: on a connection that carries the next request by then it would pass
     // for that one's. So a connection rests for several times as long.
     static final long REST = 25_000;
     private static final long SWEEP = 250_000;  // idle connections are looked through so often
