Starts by the known list refuse in a crowd; tests of lists that leave hosts out

A start that was told nothing in 6 s listens as before (StartTest's bound), and refuses what comes where discovery is there and has too many callers: all that was listed before it began counts as told by then. Who a withdrawal doesn't touch costs no whole list.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -964,8 +964,7 @@
         long until = req.ends;
         for (Attempt before : req.attempts.subList(0, req.attempts.size() - 1)) {
             boolean mayHaveRun = req.type.repeat() == Repeat.KEYED && !before.neverRan;
-            long over = before.sentAt + req.type.dedupWindow() - HELD_UP;
-            until = mayHaveRun ? Math.min(until, over) : until;
+            until = mayHaveRun ? Math.min(until, before.sentAt + req.type.dedupWindow() - HELD_UP) : until;
         }
         return until - now;
     }
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -42,8 +42,8 @@
         /** A list, or a change, that is in force from here on. */
         void listed(HostList list);
 
-        /** A list was refused, but for what is certain in it. */
-        void withdrawn(Withdrawal withdrawal);
+        /** A list was refused, but for what is certain in it. Returns whether that took anybody out of service. */
+        boolean withdrawn(Withdrawal withdrawal);
 
         /** A call has failed, or a watch has ended. */
         void failed(String cause);
@@ -127,9 +127,10 @@
         }
     }
 
-    /** Whether discovery is there and refuses some of its callers. */
-    boolean isCrowded() {
-        return deadline.isCrowded();
+    /** The gateway has started long enough ago that all which was listed before counts as told. */
+    void isDue() {
+        deadline.due(now());
+        checkDeadline();
     }
 
     private void checkDeadline() {
--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -192,7 +192,11 @@
     }
 
     private void take(int length) {
-        byte[] value = ByteBufUtil.getBytes(text.readSlice(length));
+        ByteBuf slice = text.readSlice(length);
+        if (length > 0 && slice.getByte(length - 1) == '\n') {  // it ended what may be cut off, and is no part of it
+            slice.writerIndex(length - 1);
+        }
+        byte[] value = ByteBufUtil.getBytes(slice);
         if (new String(value, StandardCharsets.UTF_8).isBlank()) {
             return;
         }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -72,9 +72,9 @@
         return told;
     }
 
-    /** Whether discovery is there and has too many callers; on the loop's thread. */
-    boolean discoveryIsCrowded() {
-        return discovery.isCrowded();
+    /** All that was listed before the gateway started counts as told by now; on the loop's thread. */
+    void listIsDue() {
+        discovery.isDue();
     }
 
     /** The module's watch begins only once {@link #ask} allows it; on the loop's thread, ahead of its first call. */
@@ -113,9 +113,10 @@
         }
 
         @Override
-        public void withdrawn(Discovery.Withdrawal withdrawal) {
+        public boolean withdrawn(Discovery.Withdrawal withdrawal) {
             int hosts = pool.withdraw(withdrawal.version(), withdrawal.named(), withdrawal.leaving());
             log("of what was refused, " + hosts + " hosts are drained or removed");
+            return hosts > 0;
         }
 
         @Override
--- a/src/main/java/mastdrift/net/ListIntake.java
+++ b/src/main/java/mastdrift/net/ListIntake.java
@@ -57,8 +57,8 @@
         boolean whole = list.all() && reading.named() != null;
         List<Member> leaving = reading.leaving();
         if (whole || !leaving.isEmpty()) {
-            wholeNeeded |= whole || list.rev() <= guard.rev();
-            listener.withdrawn(new Discovery.Withdrawal(list.rev(), whole ? reading.named() : null, leaving));
+            boolean somebody = listener.withdrawn(new Discovery.Withdrawal(list.rev(), whole ? reading.named() : null, leaving));
+            wholeNeeded |= somebody && (whole || list.rev() <= guard.rev());
         }
     }
 }
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -34,10 +34,6 @@
     // So long after its first moment a start goes by the list that was known: all that had been listed before it counts as told by then,
     // heard or not (PROTOCOL), so that waiting on protects from nothing, and its clients may have nobody else meanwhile.
     private static final long TOLD_MILLIS = 6_000;
-    // Where discovery has too many callers, what had been listed may be in force and unheard: then a start waits on, for no longer than restarts may take
-    // (nine in ten are to be ready in 10 s), and serves nobody by the list that was known before it is told.
-    private static final long TOLD_LONGEST_MILLIS = 9_000;
-    private static final long CROWD_LOOK_MILLIS = 100;
     private static final double GOLDEN = (Math.sqrt(5) - 1) / 2;
 
     // Kept, since a logger that nobody holds forgets its level.
@@ -164,31 +160,15 @@
         been told what there is now, or that has waited for that in vain since {@code began}, by {@link System#nanoTime}. */
     static void awaitList(Gateway gateway, EventLoop loop, long began, PrintStream out) {
         try {
-            boolean told = isTold(gateway, began, TOLD_MILLIS);
-            while (!told && millisSince(began) < TOLD_LONGEST_MILLIS && loop.submit(gateway::discoveryIsCrowded).get()) {
-                told = isTold(gateway, began, Math.min(TOLD_LONGEST_MILLIS, millisSince(began) + CROWD_LOOK_MILLIS));
-            }
-            if (!told) {
-                out.println("discovery tells nothing: going by the list that was known");
-            }
+            gateway.told().get(TimeUnit.MILLISECONDS.toNanos(TOLD_MILLIS) - (System.nanoTime() - began), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+            out.println("discovery tells nothing: going by the list that was known");
+            loop.submit(gateway::listIsDue).syncUninterruptibly();  // where discovery only has too many callers, nobody is sent to by it
         } catch (InterruptedException | ExecutionException e) {
             throw new IllegalStateException(e);  // nobody does either
         }
     }
 
-    private static boolean isTold(Gateway gateway, long began, long millis) throws InterruptedException, ExecutionException {
-        try {
-            gateway.told().get(TimeUnit.MILLISECONDS.toNanos(millis) - (System.nanoTime() - began), TimeUnit.NANOSECONDS);
-            return true;
-        } catch (TimeoutException e) {
-            return false;
-        }
-    }
-
-    private static long millisSince(long began) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
-    }
-
     /** Throws IllegalArgumentException where it can't listen. */
     static void listen(Started started, Config config, PrintStream out) {
         ChannelFuture bound = started.clients().listen(config.listen()).awaitUninterruptibly();
--- a/src/main/java/mastdrift/net/NotificationDeadline.java
+++ b/src/main/java/mastdrift/net/NotificationDeadline.java
@@ -53,6 +53,11 @@
         crowded = false;
     }
 
+    /** What was listed before now counts as told. */
+    void due(long now) {
+        dueAt = Math.min(dueAt, now);
+    }
+
     /** Whether a change may count as told that was not heard. */
     boolean isOverdue(long now) {
         return crowded && now >= dueAt;
@@ -62,9 +67,4 @@
     long dueAt() {
         return crowded ? dueAt : Long.MAX_VALUE;
     }
-
-    /** Whether discovery is there and refuses some of its callers. */
-    boolean isCrowded() {
-        return crowded;
-    }
 }
--- a/src/main/java/mastdrift/net/Tallying.java
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -93,8 +93,8 @@
             }
 
             @Override
-            public void withdrawn(Discovery.Withdrawal withdrawal) {
-                then.withdrawn(withdrawal);
+            public boolean withdrawn(Discovery.Withdrawal withdrawal) {
+                return then.withdrawn(withdrawal);
             }
 
             @Override
--- a/src/main/java/mastdrift/serve/DiscoverySource.java
+++ b/src/main/java/mastdrift/serve/DiscoverySource.java
@@ -55,12 +55,14 @@
     }
 
     @Override
-    public void withdrawn(Discovery.Withdrawal withdrawal) {
-        if (!closed) {
-            List<Member> changes = listed.withdraw(withdrawal.version(), withdrawal.named(), withdrawal.leaving());
-            pool.withdraw(changes);
-            control.told(pool.name(), false, changes.stream().map(DiscoverySource::node).toList());
+    public boolean withdrawn(Discovery.Withdrawal withdrawal) {
+        if (closed) {
+            return false;
         }
+        List<Member> changes = listed.withdraw(withdrawal.version(), withdrawal.named(), withdrawal.leaving());
+        pool.withdraw(changes);
+        control.told(pool.name(), false, changes.stream().map(DiscoverySource::node).toList());
+        return !changes.isEmpty();
     }
 
     private void withdrawFromPool(Set<String> before, List<Member> inForce) {
