A start that is heard of is cold whatever this machine's clock says

The gateway's clock is the Unix time of its start, run on by the monotonic clock. Where the machine's clock was fast as it began, every start looked old by as much, and a host that had just started was taken for warm: slow start was not kept. A start that discovery tells of after its first list was listed no longer than 6 s ago (told by then, heard or not), so it counts as no older than that. ColdHostTest holds it with a clock an hour fast and an hour slow.

--- a/src/main/java/mastdrift/Balance.java
+++ b/src/main/java/mastdrift/Balance.java
@@ -29,6 +29,7 @@
     private static final long KEY_MEMORY = 30_000_000;  // a key unseen for this long is a new session
     private static final long REPORT_FRESH = 1_000_000; // a queue reported earlier than this says nothing
     private static final long DOWN_AFTER = 1_000_000;   // no answer for this long makes a refusal a sign
+    private static final long TOLD_WITHIN = 6_000_000;  // a change counts as told by then, heard or not
     private static final long HELD_UP = 150_000;        // between a clock's reading and a first byte, at most
     private static final int SILENT = 3;                // attempts with no answer for so long: it is silent
     private static final long UNSURE = 100_000;        // own lateness that makes leaving say little
@@ -79,7 +80,6 @@
     private static final double HEAVY = 11;             // times the usual work: two in 100,000 are heavier
     private static final double EWMA = 0.2;             // weight of the newest refresh in send rates
     private static final double USUAL = 0.01;           // weight of one sample in a class's usual latency
-    private static final double IDLE_KEEP = 0.9;        // of what idle connections told before
     private static final double USUAL_CPU = 0.1;        // weight of one report in its kind's use of cores
     private static final double AWAY = 0.3;             // of a share, in another zone
     private static final double EVEN = 0.2;             // part of the way to even use that a refresh goes
@@ -164,10 +164,8 @@
     private long refreshedAt;
     private int askFailures;
     private double servedRate;
-    private final double[] idleLost = new double[64];
-    private final double[] idleSeen = new double[64];
-    private long idleLimit = Long.MAX_VALUE;
-    private long idleUntil;
+    private final IdleTimeout idleTimeout = new IdleTimeout();
+    private boolean told;  // discovery has told the list: what it tells from then on has come about since
     private Elsewhere others;
     private long ownStanding;
     private long ownBehind;
@@ -335,7 +333,7 @@
         server.out.remove(attempt);
         outSum--;
         if (outcome == Outcome.DELIVERED || outcome == Outcome.DROPPED || outcome == Outcome.EXPIRED) {
-            learnIdle(now, attempt, outcome != Outcome.DELIVERED);
+            idleTimeout.learn(now, attempt.idle, outcome != Outcome.DELIVERED);
         }
         if (outcome == Outcome.SHED || outcome == Outcome.DIAL_FAILED) {
             setWait(now, server, tightestAim);
@@ -517,9 +515,7 @@
             double weight = rate > kind.rate ? EWMA : REFRESH / (double) settings.rules().warmWithin();
             kind.rate += kind.warm == 0 ? 0 : weight * (rate - kind.rate);
         }
-        if (now > idleUntil) {
-            idleLimit = Long.MAX_VALUE;
-        }
+        idleTimeout.advance(now);
         sizeKinds();
         setThreshold();
         double fade = Math.min(1, HISTORY * servers.size() / Math.max(1, recentSum));
@@ -969,35 +965,16 @@
         return until - now;
     }
 
-    /** Idle connections can be lost unseen (a firewall's or a host's own shorter limit): what is sent on one
-        is reset or never answered. Connections idle for longer than such losses tell are closed before the
-        send. Costs a handshake where the losses had another cause; forgotten after a while. */
+    /** Connections idle for longer than losses on such allow are closed before the send. */
     private void freshen(long now, Server server, Attempt attempt) {
         long idle = server.out.size() > 1 || server.usedAt == 0 ? 0 : now - server.usedAt;
-        if (idle >= idleLimit) {
+        if (idleTimeout.isTooLong(idle)) {
             actions.closeIdle(server.host.address());
         } else if (idle < settings.links().idle()) {
             attempt.idle = idle;
         }
     }
 
-    /** Losses by how long the connection was idle, in steps of two. From the longest down, each step where
-        half was lost, and far more than on busy connections (step 0), lowers the limit after two losses. */
-    private void learnIdle(long now, Attempt attempt, boolean lost) {
-        int step = attempt.idle <= 0 ? 0 : 63 - Long.numberOfLeadingZeros(attempt.idle);
-        idleLost[step] = (lost ? 1 : 0) + idleLost[step] * IDLE_KEEP;
-        idleSeen[step] = 1 + idleSeen[step] * IDLE_KEEP;
-        double bar = Math.max(0.5, FAR * idleLost[0] / Math.max(1, idleSeen[0]));
-        double seen = 0;
-        for (int i = idleLost.length - 1; lost && i > 0; i--) {
-            seen += idleLost[i];
-            if (idleLost[i] > 0.5 && idleLost[i] >= bar * idleSeen[i] && seen > 1.5 && 1L << i < idleLimit) {
-                idleLimit = 1L << i;
-                idleUntil = now + KEY_MEMORY * 2;
-            }
-        }
-    }
-
     private boolean maySend(long now, Held req, Server server) {
         return listed(server) && req.ends > now && !req.streaming
                 && req.attempts.size() < settings.limits().maxAttempts()
@@ -1232,6 +1209,7 @@
             restarted = 0;
             Arrays.setAll(table, i -> present(table[i]));
         }
+        told |= form != ListForm.CACHED;
         order = servers.values().toArray(order.length == servers.size() ? order : new Server[0]);
         // Whether the draws for a request are too few to be sure of a host that the list gives weight. By
         // the list alone: where hosts are cold or failing, draws that find nobody keep the rest upright.
@@ -1259,6 +1237,14 @@
         }
     }
 
+    /** When a host started at the earliest. Its own word is in Unix time, and this machine's clock may have
+        been wrong as the gateway began: by a fast one every start looks old, and the host warm. But a start
+        that is heard of only now was listed no longer ago than discovery takes to tell; what was listed when
+        the gateway began may be of any age, and its own word is all there is. */
+    private long startedAt(long now, Host host) {
+        return Math.max(Math.min(now, host.born()), told ? now - TOLD_WITHIN : 0);
+    }
+
     /** Returns whether it has no place yet. */
     private boolean admit(long now, Host host) {
         if (host.health() == Health.GONE) {
@@ -1283,7 +1269,7 @@
         server.kind = kinds.computeIfAbsent(host.kind(), k -> new Pool());
         servers.put(host.address(), server);
         if (fresh && host.born() > 0) {
-            chill(now, server, Math.min(now, host.born()), settings.rules().warmWithin());
+            chill(now, server, startedAt(now, host), settings.rules().warmWithin());
             server.share = 0;
         }
         return seated == null;
--- a/src/test/java/mastdrift/ColdHostTest.java
+++ b/src/test/java/mastdrift/ColdHostTest.java
@@ -5,6 +5,8 @@
 import mastdrift.Balancer.ListForm;
 import mastdrift.Balancer.Outcome;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Rule 4: a cold host is never pushed over. */
 class ColdHostTest {
@@ -22,6 +24,24 @@
         assertTrue(cold > 0 && cold <= 10, "sent to the cold host: " + cold);
     }
 
+    /** The machine's clock was an hour fast as the gateway began: a host that starts now says that it did an hour ago. It is cold all the same; and so
+        it is by a clock that was an hour slow, by which it has yet to start. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 3_600, -3_600})
+    void aHostThatStartsIsColdWhateverTheClockOfThisMachine(long fastSeconds) {
+        Gateway gateway = new Gateway();
+        gateway.now += 7_200_000_000L;
+        gateway.start(4);
+        gateway.list(ListForm.DELTA);  // discovery has told: what comes from now on is new
+        overload(gateway, 800);
+        gateway.list(ListForm.DELTA, Gateway.up(9, gateway.now - fastSeconds * 1_000_000));
+        int before = gateway.sent.size();
+        overload(gateway, 400);
+        long cold = gateway.sent.stream().skip(before).filter(s -> s.address().equals("h9")).count();
+        // 2 s at 10 served a second and host: it falls by three times its part, 0.13 to 0.22 of that, in any 2 s
+        assertTrue(cold > 0 && cold <= 3 * 0.22 * 20, "sent to the cold host: " + cold);
+    }
+
     /** A warm fleet's rate is a guess for a cold host: while it answers nothing, it gets nothing more. */
     @Test
     void coldHostWhoseClientsGiveUpIsNotSentMore() {
