Failed system calls: accepts go on at once, local failures blame no server

On the sources before, who waited behind a failed accept (ECONNABORTED, EMFILE, ENFILE, ENOBUFS) waited for the library's pause of a second; now 10 ms, and an idle connection makes room. A dial that fails by this machine (EADDRNOTAVAIL, ENOBUFS, EMFILE, ENFILE) is UNUSED instead of a failure of the server; ECONNREFUSED, ETIMEDOUT, EHOSTUNREACH and ENETUNREACH stay one. A connection that makes room is looked at first: a request may stand there unread. A fault in a client's connection leaves its current request its answer.

--- a/src/main/java/mastdrift/engine/Endpoint.java
+++ b/src/main/java/mastdrift/engine/Endpoint.java
@@ -10,14 +10,12 @@
  */
 public final class Endpoint {
 
-    private final EndpointGate gate;
     private final InetSocketAddress address;
     private final long openedBy;
     private Host host;
     private boolean inService = true;
 
-    Endpoint(EndpointGate gate, Member member, long openedBy) {
-        this.gate = gate;
+    Endpoint(Member member, long openedBy) {
         host = member.host();
         address = member.at();
         this.openedBy = openedBy;
@@ -40,7 +38,7 @@
 
     /** Whether anything new may be sent there. */
     public boolean maySend() {
-        return inService && !gate.isSuspended();
+        return inService;
     }
 
     /** The version of the list that put it in service. */
--- a/src/main/java/mastdrift/engine/EndpointGate.java
+++ b/src/main/java/mastdrift/engine/EndpointGate.java
@@ -34,22 +34,12 @@
     private final Map<String, Endpoint> inService = new HashMap<>();
     private final Map<Instance, Long> endedBy = new LinkedHashMap<>();
     private long newest;
-    private boolean suspended;
 
     /** The server's instance in service; null where there is none. */
     public Endpoint find(String uid) {
         return inService.get(uid);
     }
 
-    /** Whether the list may be out of date, so that nobody is certain to be in service: until that is over nothing may be sent to anybody. */
-    public void suspend(boolean is) {
-        suspended = is;
-    }
-
-    boolean isSuspended() {
-        return suspended;
-    }
-
     /** The uids of all servers that have an instance in service. */
     public Set<String> uids() {
         return Set.copyOf(inService.keySet());
@@ -146,7 +136,7 @@
                 known.endService();
             }
             endedBy.remove(instance);
-            inService.put(host.address(), new Endpoint(this, entry, version));
+            inService.put(host.address(), new Endpoint(entry, version));
         } else {
             known.describe(host);
         }
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -133,7 +133,7 @@
         if (witness != null) {
             witness.taken(call, ask);
         }
-        if (pool.isSuspended() || open >= Math.min(openMost, pool.settings().limits().maxOpen())) {
+        if (open >= Math.min(openMost, pool.settings().limits().maxOpen())) {
             turnedAway(pool, client, call, ask);
             return null;
         }
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -134,15 +134,6 @@
         withdraw(gate.nextVersion(), null, leaving);
     }
 
-    /** Whether nobody is certain to be in service: what comes meanwhile is refused, and nothing leaves. */
-    public void suspend(boolean is) {
-        gate.suspend(is);
-    }
-
-    boolean isSuspended() {
-        return gate.isSuspended();
-    }
-
     private void putInForce(ListForm form, List<Member> members) {
         transport.update(form != ListForm.DELTA, members);
         List<Host> hosts = members.stream().map(Member::host).toList();
--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
@@ -91,6 +93,11 @@
     // thousand at once would hold up everybody else.
     private static final long SWEEP_MILLIS = 250;
     private static final int SWEEP_MOST = 1_000;
+    // Connections that are looked at before one of them makes room.
+    private static final int GIVING_WAY_LOOKS = 4;
+    // After an accept that failed for want of something of this machine's own: it would fail again at once, and again.
+    private static final long ACCEPT_PAUSE_MILLIS = 10;
+    private static final long ACCEPT_SAID = 10_000_000;
 
     private final EventLoop loop;
     private final Ledger ledger;
@@ -99,6 +106,7 @@
     private final int most;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
+    private ChannelFactory<? extends ServerChannel> listener = NioServerSocketChannel::new;
     private Function<InetAddress, String> zones;  // of clients; null where nobody asks
     private final PhaseBounds bounds;
     private final Connections<Connection> connections;
@@ -107,6 +115,7 @@
     private boolean queueSeen = true;  // to its end, by the last look at the system's queue of new connections
     private long acceptedIn;  // the last turn that found somebody there, or in which accepting went on after a pause
     private long queuedSince;  // the earliest moment at which what is taken from it now may have come
+    private long acceptSaidAt = -ACCEPT_SAID;
     private boolean stopping;
     private boolean closing;
     private long answerBy = Long.MAX_VALUE;
@@ -137,6 +146,11 @@
         zones = byAddress;
     }
 
+    /** Listens by a channel of another kind; before {@link #listen}. */
+    void listener(ChannelFactory<? extends ServerChannel> kind) {
+        listener = kind;
+    }
+
     /** Where it listens, once it does. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
@@ -167,7 +181,7 @@
 
     /** Binds; whether that went well is in the future. */
     public ChannelFuture listen(InetSocketAddress at) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(listener)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_MOST))
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -277,6 +291,25 @@
             accepted = 0;
             context.fireChannelReadComplete();
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            acceptFailed(cause);
+        }
+    }
+
+    /** An accept failed. That a client gave up as it waited (ECONNABORTED) concerns nobody else; where descriptors or buffers are out, an idle connection
+        makes room, and the next try comes soon. The library by itself would accept nobody for a second. */
+    private void acceptFailed(Throwable cause) {
+        if (ledger.now() - acceptSaidAt >= ACCEPT_SAID) {
+            acceptSaidAt = ledger.now();
+            log.accept("a connection could not be accepted: " + cause);
+        }
+        if (server.config().isAutoRead()) {
+            makeRoom(null);
+            server.config().setAutoRead(false);
+            loop.schedule(this::goOnAccepting, ACCEPT_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Whether nobody was left in the system's queue by the last wait, but for who has come since: a look came to its end, or, where it found as many as
@@ -293,12 +326,21 @@
         }
     }
 
+    /** Closes one that is owed nothing, also once what stands unread on it has been read: a request may be there. */
     private boolean makeRoom(Connections.Entry<Connection> newcomer) {
-        Connection gives = connections.givesWay(newcomer);
-        if (gives != null) {
-            gives.close();
+        for (int i = 0; i < GIVING_WAY_LOOKS; i++) {
+            Connection gives = connections.givesWay(newcomer);
+            if (gives == null) {
+                return false;
+            }
+            boolean part = gives.hasPart();
+            Look.at(gives.channel);
+            if (gives.current == null && gives.hasPart() == part) {
+                gives.close();
+                return true;
+            }
         }
-        return gives != null;
+        return false;
     }
 
     /** Whom a connection counts for: an address, or 64 bits of it where one client has as many as it likes (RFC 4291, section 2.5). */
@@ -352,7 +394,7 @@
         private Exchange exchange;
         private String id;
         private boolean read;
-        private boolean reading;  // what was read is being handled, within the event that read it
+        private boolean unreadable;  // what stands behind the current request can't be read as one
         private boolean finished;  // its last answer is out
         private long openedIn;  // the turn
         private long openedSince;  // the earliest moment at which it may have been there
@@ -392,11 +434,16 @@
             if (entry.phase() == phase) {
                 Look.at(channel);
             }
-            if (entry.phase() == phase && (parts || decoder == null || decoder.isEmpty())) {
+            if (entry.phase() == phase && (parts || !hasPart())) {
                 close();
             }
         }
 
+        /** Whether a part of a request has come that is not whole yet. */
+        private boolean hasPart() {
+            return decoder != null && !decoder.isEmpty();
+        }
+
         /** What is open is answered now. */
         private void end() {
             if (exchange != null) {
@@ -430,12 +477,7 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             if (message instanceof FullHttpRequest request) {
-                reading = true;
-                try {
-                    arrived(request);
-                } finally {
-                    reading = false;
-                }
+                arrived(request);
             } else {
                 decoder = new StrictDecoder();
                 channel.pipeline().addFirst(decoder, new HttpResponseEncoder(), new Requests());
@@ -632,9 +674,6 @@
         /** Its end may stand unread: it is looked for each time, since the process may have been held up since it was read last. */
         @Override
         public boolean there() {
-            if (reading) {
-                return channel.isActive();  // as of a moment ago, and nothing more can be read from here
-            }
             if (!channel.config().isAutoRead()) {
                 return Look.through(channel, PAUSED_LOOKS) && channel.isActive();
             }
@@ -688,7 +727,7 @@
             id = null;
             // At a stop the connection ends with the last answer that it is owed.
             boolean more = counted > 0 || waiting != null && !waiting.isEmpty();
-            boolean keep = !close && (more || !closing) && HttpUtil.isKeepAlive(current);
+            boolean keep = !close && !unreadable && (more || !closing) && HttpUtil.isKeepAlive(current);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keep);
             connections.moved(ledger.now(), entry, Phase.UNREAD);
@@ -715,13 +754,21 @@
             });
         }
 
+        /** A break ends the connection. A request that is being answered, and any other fault, of the codec or of this program, still leave it its answer. */
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             boolean clients = cause instanceof IOException || cause instanceof CodecException;
             if (!clients) {
                 log.accept("fault at a client's connection: " + cause);
             }
-            context.close();
+            if (cause instanceof IOException || current == null || finished) {
+                context.close();
+            } else if (exchange != null) {
+                unreadable = true;
+                channel.config().setAutoRead(false);
+            } else {
+                plain(HttpResponseStatus.INTERNAL_SERVER_ERROR, true);
+            }
         }
     }
 }
--- a/src/main/java/mastdrift/net/ConnectionPool.java
+++ b/src/main/java/mastdrift/net/ConnectionPool.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import mastdrift.Balancer.Outcome;
 import mastdrift.engine.Endpoint;
 import mastdrift.engine.Timers;
@@ -60,6 +61,12 @@
 
     /** Holds {@code most} connections; spans are in microseconds. */
     ConnectionPool(EventLoop loop, LongSupplier clock, Timers timers, long dialTimeout, long idleTimeout, int most, Consumer<String> faults) {
+        this(loop, clock, timers, dialTimeout, idleTimeout, most, faults, NioSocketChannel::new);
+    }
+
+    /** Likewise, by sockets of a kind. */
+    ConnectionPool(EventLoop loop, LongSupplier clock, Timers timers, long dialTimeout, long idleTimeout, int most, Consumer<String> faults,
+            Supplier<? extends Channel> sockets) {
         this.loop = loop;
         this.clock = clock;
         this.timers = timers;
@@ -67,7 +74,7 @@
         this.faults = faults;
         long idleMost = (long) (idleTimeout * IDLE_PART);
         keep = new IdleKeep(idleMost);
-        bootstrap = new Bootstrap().group(loop).channelFactory(() -> strays == null ? new NioSocketChannel() : CountedChannel.create())
+        bootstrap = new Bootstrap().group(loop).channelFactory(() -> strays == null ? sockets.get() : CountedChannel.create())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1000))
                 .handler(new ChannelInitializer<Channel>() {
@@ -126,10 +133,11 @@
         dialled.addListener(done -> {
             if (!done.isSuccess()) {
                 // Where no descriptor was left there is no channel that would close, and the library says so on a thread of its own.
+                Outcome outcome = LocalFault.is(done.cause()) ? Outcome.UNUSED : Outcome.DIAL_FAILED;
                 if (loop.inEventLoop()) {
-                    undialled(attempt);
+                    undialled(attempt, outcome);
                 } else {
-                    loop.execute(() -> undialled(attempt));
+                    loop.execute(() -> undialled(attempt, outcome));
                 }
                 return;
             }
@@ -146,9 +154,9 @@
         });
     }
 
-    private void undialled(HttpAttempt attempt) {
+    private void undialled(HttpAttempt attempt, Outcome outcome) {
         connections--;
-        attempt.end(Outcome.DIAL_FAILED, null);
+        attempt.end(outcome, null);
     }
 
     private void ended(EndpointConnection connection) {
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -48,9 +48,6 @@
         /** A call has failed, or a watch has ended. */
         void failed(String cause);
 
-        /** Whether a change may count as told by now that could not be heard: then nobody is certain to be in service. See {@link NotificationDeadline}. */
-        void outdated(boolean is);
-
         /** A call begins. */
         default void called() { }
     }
@@ -61,8 +58,6 @@
     private final ListIntake intake;
     private final Asked watch;
     private final Asked fetch;
-    private final NotificationDeadline deadline = new NotificationDeadline(now());
-    private boolean outdated;
     private int reading;  // calls, one within another where one ends others
 
     /** {@code known} is the list in force already. Calls may have to wait for their turn. */
@@ -120,27 +115,12 @@
             return;
         }
         at = to;
-        deadline.moved(now());
         for (Asked asked : List.of(watch, fetch)) {
             asked.end(asked.schedule.moved(now()));
             asked.step();
         }
     }
 
-    /** The gateway has started long enough ago that all which was listed before counts as told. */
-    void isDue() {
-        deadline.due(now());
-        checkDeadline();
-    }
-
-    private void checkDeadline() {
-        boolean is = deadline.isOverdue(now());
-        if (is != outdated) {
-            outdated = is;
-            listener.outdated(is);
-        }
-    }
-
     private static long now() {
         return System.nanoTime() / 1_000;
     }
@@ -178,8 +158,7 @@
                 // Where there is no descriptor left, the library says so on a thread of its own.
                 dialled.addListener(done -> loop.execute(() -> dialled(dialled)));
             }
-            checkDeadline();
-            long next = Math.min(schedule.due(), outdated ? Long.MAX_VALUE : deadline.dueAt());
+            long next = schedule.due();
             if (next < dueAt) {  // one that comes too early looks and goes on
                 if (due != null) {
                     due.cancel(false);
@@ -201,9 +180,6 @@
             }
             for (Channel late : schedule.overdue(now())) {
                 DiscoveryCall call = call(late);
-                if (call == null || !call.hasTold()) {
-                    deadline.unreachable(now());  // it hung for longer than calls wait, or its dial did
-                }
                 failed(late, call == null || !late.isActive() ? "no connection" : call.lacks(schedule.bound(late)));
                 late.close();
             }
@@ -228,7 +204,6 @@
                 request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(at));
                 dialled.channel().writeAndFlush(request);
             } else {
-                deadline.unreachable(now());
                 failed(dialled.channel(), "no connection");
             }
             step();
@@ -259,8 +234,6 @@
 
         @Override
         public void lineCame(DiscoveryCall call) {
-            deadline.told(now());
-            checkDeadline();
             endOthers(schedule.heard(now(), call.channel()), call);
         }
 
@@ -286,9 +259,6 @@
 
         @Override
         public void ended(DiscoveryCall call, String cause) {
-            if (schedule.out(call.channel()) && !call.hasTold()) {
-                deadline.refused(now(), (System.nanoTime() - call.upSince()) / 1_000);
-            }
             failed(call.channel(), cause);
             loop.execute(this::step);  // once all that this turn found has been read: another call's line may be among it
         }
--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -62,7 +62,6 @@
     private long told = Long.MIN_VALUE;  // the last version that this one told
     private String cause = "the connection ended";
     private long upSince;
-    private boolean alive;  // it has told a line
 
     DiscoveryCall(Owner owner, boolean watching, ListIntake intake) {
         this.owner = owner;
@@ -86,16 +85,6 @@
         return context.channel();
     }
 
-    /** When its connection came up, by {@link System#nanoTime}. */
-    long upSince() {
-        return upSince;
-    }
-
-    /** Whether it has told anything. */
-    boolean hasTold() {
-        return alive;
-    }
-
     /** What is missing after so many microseconds. */
     String lacks(long micros) {
         return "expected a line within " + micros / 1_000 + " ms, found " + (text.isReadable() ? text.readableBytes() + " bytes of one" : "none");
@@ -123,7 +112,7 @@
         if (part.decoderResult().isFailure() || standing == Standing.CURRENT && !owner.counts(this)) {
             given.close();
         } else if (part instanceof HttpResponse response && response.status().code() != 200) {
-            cause = "status " + response.status().code();
+            cause = "status " + response.status().code() + " after " + (System.nanoTime() - upSince) / 1_000_000 + " ms";
             given.close();
         } else if (part instanceof HttpContent content) {
             text.discardReadBytes().writeBytes(content.content());
@@ -172,7 +161,6 @@
         looked = 0;
         lineBegin = 0;
         take(length);
-        alive = true;
         if (standing == Standing.CURRENT) {
             owner.lineCame(this);
         }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -72,11 +72,6 @@
         return told;
     }
 
-    /** All that was listed before the gateway started counts as told by now; on the loop's thread. */
-    void listIsDue() {
-        discovery.isDue();
-    }
-
     /** The module's watch begins only once {@link #ask} allows it; on the loop's thread, ahead of its first call. */
     void hold() {
         held = true;
@@ -119,12 +114,6 @@
             return hosts > 0;
         }
 
-        @Override
-        public void outdated(boolean is) {
-            log(is ? "discovery has refused all calls for too long: nobody is sent to until it tells the list" : "the list is up to date again");
-            pool.suspend(is);
-        }
-
         @Override
         public void failed(String cause) {
             log("discovery failed: " + cause);
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -86,7 +86,7 @@
     static void open(Started now, EventLoop loop, Config config, TimedLoop rehearsed, long began, PrintStream out) {
         rehearse(config, rehearsed, () -> !now.gateway().told().isDone(), out::println);
         loop.execute(now.gateway()::ask);
-        awaitList(now.gateway(), loop, began, out);
+        awaitList(now.gateway(), began, out);
     }
 
     /** When this gateway calls discovery first, in milliseconds from its start. Where calls wait for their turn and many gateways start at
@@ -158,12 +158,11 @@
 
     /** What a gateway knew when it ended may be long over, hosts that have drained since among it: clients come to one that has
         been told what there is now, or that has waited for that in vain since {@code began}, by {@link System#nanoTime}. */
-    static void awaitList(Gateway gateway, EventLoop loop, long began, PrintStream out) {
+    static void awaitList(Gateway gateway, long began, PrintStream out) {
         try {
             gateway.told().get(TimeUnit.MILLISECONDS.toNanos(TOLD_MILLIS) - (System.nanoTime() - began), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
             out.println("discovery tells nothing: going by the list that was known");
-            loop.submit(gateway::listIsDue).syncUninterruptibly();  // where discovery only has too many callers, nobody is sent to by it
         } catch (InterruptedException | ExecutionException e) {
             throw new IllegalStateException(e);  // nobody does either
         }
--- a/src/main/java/mastdrift/net/Tallying.java
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -103,11 +103,6 @@
                 then.failed(cause);
             }
 
-            @Override
-            public void outdated(boolean is) {
-                then.outdated(is);
-            }
-
             @Override
             public void called() {
                 second.add(Count.CALLS);
--- a/src/main/java/mastdrift/serve/DiscoverySource.java
+++ b/src/main/java/mastdrift/serve/DiscoverySource.java
@@ -73,13 +73,6 @@
         pool.withdraw(leaving);
     }
 
-    @Override
-    public void outdated(boolean is) {
-        log.accept(is ? "discovery of pool " + pool.name() + " has refused all calls for too long: nobody is sent to until it tells the list"
-                : "the list of pool " + pool.name() + " is up to date again");
-        pool.suspend(is);
-    }
-
     private static Node node(Member member) {
         Host host = member.host();
         return new Node(host.address(), Addresses.format(member.at()), text(host.zone()), host.cell(), text(host.kind()),
