--- a/src/test/java/mastdrift/serve/ZoneServiceTest.java
+++ b/src/test/java/mastdrift/serve/ZoneServiceTest.java
@@ -287,13 +287,15 @@
         assertTrue(over(snapshot).attempts() - over(snapshot).attempts(Cause.REPEAT) <= 60, "crossed: " + over(snapshot).attempts());
     }
 
-    /** The operator changes a budget while it runs, and takes the files away, which needs another start. */
+    /** The operator changes a budget while it runs, and takes the files away, which needs another start. By a budget of a minute, whose pace no
+        client of a test exceeds; a million requests an hour are 278 a second at its begin, and a quick machine asks for more (AccountTest). */
     @Test
     void aBudgetChangesWhileItServes() throws Exception {
-        serve("[zones]\n" + NOTHING);
+        String nothing = NOTHING.replace("window = \"hour\"", "window = \"minute\"");
+        serve("[zones]\n" + nothing);
         nodes("state = \"drain\"\n", "");
         rig.await(() -> statuses(1, null)[503] == 1, "nobody at home, and no budget to cross");
-        rig.gateway(POOL + "[zones]\n" + NOTHING.replace("requests = 0", "requests = 1000000"));
+        rig.gateway(POOL + "[zones]\n" + nothing.replace("requests = 0", "requests = 1000000"));
         rig.await(() -> statuses(20, null)[200] == 20 && c.served() > 0, "it may cross now");
         rig.gateway(POOL);
         rig.awaitLog("[zones]: expected the table, or none");
--- a/src/test/java/mastdrift/zones/AccountTest.java
+++ b/src/test/java/mastdrift/zones/AccountTest.java
@@ -13,6 +13,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** One budget: paced, never above its part, whatever the clock and the process do; and parts that gateways give one another. */
 class AccountTest {
@@ -317,4 +319,21 @@
             assertEquals(Instant.parse(row[2]).toEpochMilli(), Window.valueOf(row[0]).end(at), row[0]);
         }
     }
+
+    /** A budget that is raised from nothing is spent from at the pace of what is left of its window: who asks faster than that crosses in part, also where the
+        whole would hold many times as much, and rounds of twenty with a pause of 10 ms between never all fit. */
+    @ParameterizedTest
+    @CsvSource({"HOUR, 0, 1, false", "HOUR, 0.1, 1, false", "HOUR, 0, 5, true", "HOUR, 0.99, 1, true", "MINUTE, 0, 1, true", "MINUTE, 0.9, 1, true"})
+    void aRaisedBudgetIsSpentFromAtItsPace(Window window, double passed, long everyMillis, boolean allFit) {
+        long now = BEGIN + (long) (passed * (window.end(BEGIN) - window.begin(BEGIN)));
+        Account account = new Account(limit(window, 0, 0), 1, now);
+        account.change(limit(window, 1_000_000, 0), 1);
+        double most = 0;
+        for (int round = 0; round < 100; round++) {
+            now += 10;
+            most = Math.max(most, greedy(account, now, now + 20 * everyMillis, everyMillis, 1));
+            now += 20 * everyMillis;
+        }
+        assertEquals(allFit, most == 20, "crossed in the best round: " + most);
+    }
 }
