An answer of no told length that ends with its connection is passed on; a reset is no end

ConnectionPoolTest has both ends with bodies of 0, 20 and 40,000 bytes. ColdFleetTest plays fleets of 1, 2, 3 and 10 gateways, too: no cold host was pushed over.

--- a/src/main/java/mastdrift/net/AnswerDecoder.java
+++ b/src/main/java/mastdrift/net/AnswerDecoder.java
@@ -5,7 +5,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AsciiString;
 
-/** Reads endpoints' answers; one whose length is told twice or not at all can't be told from a broken or a longer one. */
+/** Reads endpoints' answers; one whose length is told twice can't be told from a broken or a longer one. One whose length is not told ends with its connection
+    (RFC 9112, section 6.3), where that is closed and not reset: {@link EndpointConnection} knows. */
 final class AnswerDecoder extends HttpResponseDecoder {
 
     private boolean begun;
@@ -19,8 +20,8 @@
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean empty = super.isContentAlwaysEmpty(message);
-        if (!empty && HttpUtil.isContentLengthSet(message) == HttpUtil.isTransferEncodingChunked(message)) {
-            throw new IllegalArgumentException("an answer with no length, or with two");
+        if (!empty && HttpUtil.isContentLengthSet(message) && HttpUtil.isTransferEncodingChunked(message)) {
+            throw new IllegalArgumentException("an answer with two lengths");
         }
         return empty;
     }
--- a/src/main/java/mastdrift/net/EndpointConnection.java
+++ b/src/main/java/mastdrift/net/EndpointConnection.java
@@ -37,6 +37,7 @@
     private boolean used;
     private boolean idling;  // it is offered, or was until just now
     private boolean fresh;  // what is on it is the first
+    private boolean broken;  // reset, or not readable any more: what ends with it is not whole
     private int interim;
     private long idleSince;
     private long toldSent;
@@ -142,7 +143,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
         answers.ended();
-        boolean whole = answer.decoderResult().isSuccess()
+        boolean whole = answer.decoderResult().isSuccess() && !broken
                 && !answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
         if (whole && answer.status().codeClass() == HttpStatusClass.INFORMATIONAL && ++interim <= INTERIM_MOST) {
             return;
@@ -150,7 +151,7 @@
         whole &= answer.status().codeClass() != HttpStatusClass.INFORMATIONAL;
         HttpAttempt mine = attempt;
         attempt = null;
-        answered = mine != null && !mine.isOver() && mine.isWritten() && whole && HttpUtil.isKeepAlive(answer);
+        answered = mine != null && !mine.isOver() && mine.isWritten() && whole && HttpUtil.isKeepAlive(answer) && channel.isActive();
         idleSince = pool.now();
         if (!answered) {
             channel.close();
@@ -205,6 +206,7 @@
                 || cause instanceof PrematureChannelClosureException)) {
             pool.fault("fault at an endpoint's connection: " + cause);
         }
+        broken = true;
         context.close();
     }
 }
--- a/src/test/java/mastdrift/ColdFleetTest.java
+++ b/src/test/java/mastdrift/ColdFleetTest.java
@@ -250,7 +250,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"5, 40", "20, 30", "30, 30", "100, 15"})
+    @CsvSource({"1, 40", "2, 40", "3, 40", "5, 40", "10, 30", "20, 30", "30, 30", "100, 15"})
     void theSumOfAllGatewaysPushesNoColdHostOver(int gateways, int seeds) {
         for (Told how : Told.values()) {
             int broken = 0;
--- a/src/test/java/mastdrift/net/ConnectionPoolTest.java
+++ b/src/test/java/mastdrift/net/ConnectionPoolTest.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Connections to hosts, on a clock that the test moves. */
@@ -325,6 +327,33 @@
         }
     }
 
+    /** The length of an answer may not be told: it is whole where its connection ends in order, and a reset is no end. */
+    @ParameterizedTest
+    @CsvSource({"close, DELIVERED, 20", "close, DELIVERED, 40000", "close, DELIVERED, 0", "reset, DROPPED, 20", "reset, DROPPED, 40000"})
+    void anAnswerOfNoLengthEndsWithItsConnection(String how, Outcome expected, int length) throws Exception {
+        try (Server host = new Server(message -> {
+            write(message.socket(), "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n" + "x".repeat(length));
+            if (how.equals("reset")) {
+                Thread.sleep(20);  // what is not read by then goes with the reset, and the answer is none either way
+                message.socket().setSoLinger(true, 0);
+            }
+            message.socket().close();
+        })) {
+            HttpAttempt[] none = new HttpAttempt[1];
+            BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+            ConnectionPool pool = poolOf(host);
+            onLoop(() -> none[0] = send(pool, "s1", new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), (outcome, answer) -> {
+                bodies.add(answer == null ? "" : answer.content().toString(StandardCharsets.US_ASCII));
+                outcomes.add(outcome);
+            }));
+            assertEquals(expected, await(outcomes));
+            String body = await(bodies);
+            assertTrue(expected != Outcome.DELIVERED || body.equals("x".repeat(length)), "a body of " + body.length());
+            assertEquals(expected, outcome(pool, "s1"), "on another connection");
+            assertEquals(2, host.accepted.size());
+        }
+    }
+
     @Test
     void endlessInterimAnswersAreADroppedAttempt() throws Exception {
         try (Server host = new Server(m -> {
