The drain play moves the registry by SIGHUP and tells lists in pieces

Each gateway's configuration is replaced whole, then all get SIGHUP while the registry is gone from where it was; one line of five comes in two pieces up to 30 ms apart.

--- a/src/main/java/mastdrift/lab/rig/DrainPlay.java
+++ b/src/main/java/mastdrift/lab/rig/DrainPlay.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -59,6 +60,7 @@
     private final Map<String, StandInHost> endpoints = new LinkedHashMap<>();
     private final Map<String, Process> gateways = new LinkedHashMap<>();
     private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final Map<String, Integer> numbers = new LinkedHashMap<>();
     private final List<String> inService = new ArrayList<>();
     private final List<String> outOfService = new ArrayList<>();
     private volatile boolean over;
@@ -122,19 +124,26 @@
     private void start(String name, ScriptedRegistry registry, Signals signals, CountDownLatch ready) throws IOException {
         int port = freePort();
         ports.put(name, port);
-        Path file = folder.resolve(name + ".json");
-        Files.writeString(file, "{\"name\":\"" + name + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":512},\"known\":" + registry.whole()
-                + ",\"settings\":" + settings(gateways.size()) + "}");
+        numbers.put(name, numbers.size());
+        Path file = configure(name, registry);
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
                 "-Xmx48m", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main").redirectErrorStream(true);
-        builder.environment().putAll(Map.of("NODE_NAME", name, "NODE_CONFIG", file.toString(), "NODE_LISTEN", "127.0.0.1:" + port,
-                "NODE_DISCOVERY", registry.address(name)));
+        builder.environment().putAll(Map.of("NODE_NAME", name, "NODE_CONFIG", file.toString(), "NODE_LISTEN", "127.0.0.1:" + port));
         Process process = builder.start();
         signals.add(process);
         gateways.put(name, process);
         daemon(() -> readLog(process, ready)).start();
     }
 
+    /** Whole or not at all: a gateway may read it at any moment. */
+    private Path configure(String name, ScriptedRegistry registry) throws IOException {
+        Path file = folder.resolve(name + ".json");
+        Path next = folder.resolve(name + ".next");
+        Files.writeString(next, "{\"name\":\"" + name + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":512},\"discovery\":\"" + registry.address(name)
+                + "\",\"known\":" + registry.whole() + ",\"settings\":" + settings(numbers.get(name)) + "}");
+        return Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
     private static void readLog(Process process, CountDownLatch ready) {
         try (BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = log.readLine(); line != null; line = log.readLine()) {
@@ -180,13 +189,13 @@
         }
     }
 
-    private void disturb(ScriptedRegistry registry, Signals signals, PrintStream out) throws InterruptedException {
+    private void disturb(ScriptedRegistry registry, Signals signals, PrintStream out) throws IOException, InterruptedException {
         long until = now() + size.seconds * 1_000_000L;
         Thread holding = daemon(() -> holdUp(signals));
         holding.start();
         while (now() < until) {
             Thread.sleep(100 + random.nextInt(500));
-            out.println(now() / 1_000 + " ms: " + disturbOnce(registry));
+            out.println(now() / 1_000 + " ms: " + disturbOnce(registry, signals));
         }
         registry.slow(0);
         Thread.sleep(TimeUnit.MICROSECONDS.toMillis(GRACE + LATE));
@@ -195,8 +204,8 @@
         holding.join();
     }
 
-    private String disturbOnce(ScriptedRegistry registry) throws InterruptedException {
-        switch (random.nextInt(12)) {
+    private String disturbOnce(ScriptedRegistry registry, Signals signals) throws IOException, InterruptedException {
+        switch (random.nextInt(13)) {
             case 0 -> registry.silence();
             case 1 -> registry.reset();
             case 2 -> registry.slow(random.nextInt(1_500));
@@ -212,6 +221,14 @@
                 registry.spoil();
                 return "behind a list that can't be taken, " + endOne(registry);
             }
+            case 9 -> {
+                registry.move();
+                for (Map.Entry<String, Process> gateway : gateways.entrySet()) {
+                    configure(gateway.getKey(), registry);
+                    signals.send("HUP", gateway.getValue());
+                }
+                return "the registry has moved, " + endOne(registry);
+            }
             case 8 -> {
                 registry.crowd(600 + random.nextInt(1_500));
                 String ended = endOne(registry);
--- a/src/main/java/mastdrift/lab/rig/ScriptedRegistry.java
+++ b/src/main/java/mastdrift/lab/rig/ScriptedRegistry.java
@@ -17,6 +17,7 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
 /** A registry with an address for each gateway, in the platform's form, whose watches fall silent, are reset, answer slowly, or are gone for a while, by word of who plays. It keeps
@@ -24,6 +25,9 @@
 final class ScriptedRegistry implements AutoCloseable {
 
     private static final long HEARTBEAT_MILLIS = 2_000;
+    // One line of so many comes in two pieces with a pause between.
+    private static final int IN_PIECES = 5;
+    private static final int PIECE_NANOS = 30_000_000;
 
     /** An endpoint as listed; {@code changed} is the version that did so. */
     private record Entry(String uid, String address, String state, long bornMillis, long changed) {
@@ -53,10 +57,21 @@
 
         private void line(String text) throws IOException {
             byte[] bytes = (text + "\n").getBytes(StandardCharsets.UTF_8);
-            out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
-            out.write(bytes);
-            out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
-            out.flush();
+            int cut = random.nextInt(bytes.length);
+            chunk(bytes, 0, cut);
+            if (random.nextInt(IN_PIECES) == 0) {
+                LockSupport.parkNanos(random.nextInt(PIECE_NANOS));
+            }
+            chunk(bytes, cut, bytes.length);
+        }
+
+        private void chunk(byte[] bytes, int from, int to) throws IOException {
+            if (from < to) {
+                out.write((Integer.toHexString(to - from) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                out.write(bytes, from, to - from);
+                out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+                out.flush();
+            }
         }
 
         /** Writes the entries as one list, behind one that can't be taken where that was asked for, and keeps what it thereby told. */
@@ -117,15 +132,28 @@
         this.timer = timer;
         this.random = random;
         for (String gateway : gateways) {
-            ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-            listeners.put(gateway, listener);
-            Thread accepting = new Thread(() -> accept(gateway, listener), "registry-" + gateway);
-            accepting.setDaemon(true);
-            accepting.start();
+            listen(gateway);
         }
         timer.scheduleAtFixedRate(this::beat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void listen(String gateway) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        listeners.put(gateway, listener);
+        Thread accepting = new Thread(() -> accept(gateway, listener), "registry-" + gateway);
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    /** It is elsewhere from now on; where it was, nothing answers any more. */
+    synchronized void move() throws IOException {
+        for (Map.Entry<String, ServerSocket> each : List.copyOf(listeners.entrySet())) {
+            each.getValue().close();
+            listen(each.getKey());
+        }
+        reset();
+    }
+
     /** Where a gateway finds it. */
     String address(String gateway) {
         return "127.0.0.1:" + ((InetSocketAddress) listeners.get(gateway).getLocalSocketAddress()).getPort();
