--- a/src/main/java/mastdrift/lab/rig/DrainPlay.java
+++ b/src/main/java/mastdrift/lab/rig/DrainPlay.java
@@ -140,7 +140,7 @@
         Path file = folder.resolve(name + ".json");
         Path next = folder.resolve(name + ".next");
         Files.writeString(next, "{\"name\":\"" + name + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":512},\"discovery\":\"" + registry.address(name)
-                + "\",\"known\":" + registry.whole() + ",\"settings\":" + settings(numbers.get(name)) + "}");
+                + "\",\"known\":" + registry.whole() + ",\"settings\":" + settings(size.gateways, numbers.get(name)) + "}");
         return Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
@@ -163,9 +163,9 @@
     }
 
     /** One class that is safe to repeat, the platform's figures for the rules. */
-    private String settings(int me) {
+    static String settings(int gateways, int me) {
         return "{\"allowed\":{\"cancel\":true,\"conn_idle\":5000000,\"dial_timeout\":150000,\"max_attempts\":4,\"max_open\":20000,\"max_retry_after\":2000000,"
-                + "\"parallel_tries\":true,\"probes\":true,\"retry_after\":false},\"balancers\":" + size.gateways + ",\"classes\":[{\"name\":\"read\",\"target\":300000,"
+                + "\"parallel_tries\":true,\"probes\":true,\"retry_after\":false},\"balancers\":" + gateways + ",\"classes\":[{\"name\":\"read\",\"target\":300000,"
                 + "\"deadline\":1000000,\"credit\":1.0,\"late_share\":0.5,\"repeat\":\"read_like\",\"group\":\"all\",\"dedup_window\":5000000}],\"dcs\":[\"a\"],"
                 + "\"guarantees\":{\"cold_from\":0.13,\"drain_grace\":" + GRACE + ",\"fall\":2000000,\"must_ask_in\":10000000,\"tip_multiple\":3.0,\"warm_within\":24000000},"
                 + "\"locality\":\"a\",\"me\":" + me + ",\"registry_mode\":\"on_request\",\"tenants\":[],\"weights\":\"nominal\"}";
--- a/src/main/java/mastdrift/lab/rig/ScriptedRegistry.java
+++ b/src/main/java/mastdrift/lab/rig/ScriptedRegistry.java
@@ -17,6 +17,7 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
@@ -69,6 +70,7 @@
             if (from < to) {
                 out.write((Integer.toHexString(to - from) + "\r\n").getBytes(StandardCharsets.US_ASCII));
                 out.write(bytes, from, to - from);
+                written.addAndGet(to - from);
                 out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
                 out.flush();
             }
@@ -120,6 +122,7 @@
     private final Map<String, ServerSocket> listeners = new LinkedHashMap<>();
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    private final AtomicLong written = new AtomicLong();
     private long version = 1;
     private long downSince = -1;
     private long answerDelayMillis;
@@ -154,6 +157,11 @@
         reset();
     }
 
+    /** Bytes of lines that were written so far. */
+    long written() {
+        return written.get();
+    }
+
     /** Where a gateway finds it. */
     String address(String gateway) {
         return "127.0.0.1:" + ((InetSocketAddress) listeners.get(gateway).getLocalSocketAddress()).getPort();
--- a/src/main/java/mastdrift/standin/StandInHost.java
+++ b/src/main/java/mastdrift/standin/StandInHost.java
@@ -81,6 +81,7 @@
     private volatile int queueMost = QUEUE_MOST;
     private volatile Manner manner = Manner.SERVE;
     private volatile Consumer<Seen> observer = seen -> { };
+    private volatile long opened;
     private volatile long served;
     private volatile long turnedAway;
     private volatile long lastAt;
@@ -104,11 +105,17 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         connections.add(channel);
+                        opened++;
                         channel.pipeline().addLast(new Wire(), new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Requests());
                     }
                 }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
     }
 
+    /** Connections that it has accepted so far. */
+    public long opened() {
+        return opened;
+    }
+
     /** Its name. */
     public String name() {
         return name;
