A start whose number can't be written is later than the last one all the same

Where the folder of peers could be read and not written, a start went by its clock alone: by one that was set back it looked older than the start before, and its words were passed over. It takes the number after the last one that is on disk now, and says that it is not remembered.

--- a/src/main/java/mastdrift/peers/edge/GenerationFile.java
+++ b/src/main/java/mastdrift/peers/edge/GenerationFile.java
@@ -23,10 +23,14 @@
         file = folder.resolve(NAME);
     }
 
-    /** The generation of a start at that Unix time in microseconds; it is on disk once this returns. Throws IOException where it can't be written, or what is there is no
-        number: a start then goes by its clock alone. */
+    /** The generation of a start at that Unix time in microseconds, later than the last one on disk whatever the clock says. Throws IOException where what is there is no number, or
+        can't be read: a start then goes by its clock alone. */
     public long next(long wall) throws IOException {
-        long generation = Math.max(wall, last() + 1);
+        return Math.max(wall, last() + 1);
+    }
+
+    /** It is on disk once this returns. Throws IOException where it can't be written: what was there stays. */
+    public void write(long generation) throws IOException {
         Path aside = file.resolveSibling(NAME + ".new");
         try (FileChannel out = FileChannel.open(aside, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
             ByteBuffer text = ByteBuffer.wrap(Long.toString(generation).getBytes(StandardCharsets.US_ASCII));
@@ -39,7 +43,6 @@
         try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
             folder.force(true);  // or the name may be lost with the machine
         }
-        return generation;
     }
 
     private long last() throws IOException {
--- a/src/main/java/mastdrift/serve/PeerService.java
+++ b/src/main/java/mastdrift/serve/PeerService.java
@@ -100,12 +100,21 @@
         if (settings.folder() == null) {
             return wall;
         }
+        GenerationFile kept;
+        long next;
         try {
-            return new GenerationFile(file.toAbsolutePath().resolveSibling(settings.folder())).next(wall);
+            kept = new GenerationFile(file.toAbsolutePath().resolveSibling(settings.folder()));
+            next = kept.next(wall);
         } catch (IOException e) {
             events.event(Level.WARN, "peers_folder", "the folder of peers can't be used, this start goes by its clock: " + e.getMessage());
             return wall;
         }
+        try {
+            kept.write(next);
+        } catch (IOException e) {  // it is later than the last one all the same, and so is the next start's by a clock that goes on
+            events.event(Level.WARN, "peers_folder", "the folder of peers can't be written, this start is not remembered: " + e.getMessage());
+        }
+        return next;
     }
 
     private static String build() {
