Ledger reads notifications: its names for lists that stand unread follow the field

hear, news and newsAt are readNotifications, notifications and notificationsReadAt; no behaviour changes.

--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -40,8 +40,8 @@
     private final ServiceCount count = new ServiceCount();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private Witness witness;  // null where nobody asks
-    private BooleanSupplier news = () -> true;
-    private long newsAt;
+    private BooleanSupplier unreadNotifications = () -> true;
+    private long notificationsReadAt;
     private boolean inEvent;
     private boolean deferred;
     private long saidAt = -SAID_EVERY;
@@ -91,8 +91,8 @@
     /** {@code read} reads what has been told of hosts and stands unread, and returns whether nothing more can stand there. It is called on the loop's
         thread, ahead of events and of first bytes, where a turn has taken long: what was told since the turn began would otherwise be heard only in the
         next one. */
-    public void news(BooleanSupplier read) {
-        news = read;
+    public void notifications(BooleanSupplier read) {
+        unreadNotifications = read;
     }
 
     /** Final answers so far. */
@@ -220,7 +220,7 @@
         inEvent = true;
         try {
             while (!events.isEmpty()) {
-                hear();
+                readNotifications();
                 events.poll().run();
             }
         } finally {
@@ -229,17 +229,17 @@
     }
 
     /** Hears what may have been told too long ago to be unread; what comes of it is played ahead of what waits. */
-    void hear() {
+    void readNotifications() {
         long now = now();
-        if (turns.most(now) <= LOOK_AFTER || now - newsAt <= LOOK_AFTER) {
+        if (turns.most(now) <= LOOK_AFTER || now - notificationsReadAt <= LOOK_AFTER) {
             return;
         }
         boolean within = inEvent;
         int waiting = events.size();
         inEvent = true;
         try {
-            if (news.getAsBoolean()) {
-                newsAt = now;
+            if (unreadNotifications.getAsBoolean()) {
+                notificationsReadAt = now;
             }
         } finally {
             inEvent = within;
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -193,7 +193,7 @@
 
         @Override
         public boolean wanted() {
-            ledger.hear();  // a drain told meanwhile is one for what has not left yet
+            ledger.readNotifications();  // a drain told meanwhile is one for what has not left yet
             return !exchange.ended && exchange.client.there();
         }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -55,7 +55,7 @@
         }
         pool = new Pool("hosts", ledger, module, config.settings(), hosts);
         discovery = new Discovery(loop, config.discovery(), !config.settings().registryOnRequest(), config.known(), listener);
-        ledger.news(discovery::look);
+        ledger.notifications(discovery::look);
         pool.start(source, config.known().rev(), config.known().entries());
         logList(config.known());
         if (!config.settings().registryOnRequest()) {
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -127,7 +127,7 @@
         this.file = file;
         this.events = events;
         secrets = new Secrets(file, System.getenv());
-        ledger.news(this::readNotifications);
+        ledger.notifications(this::readNotifications);
         watcher = new Watcher(file, new Watcher.Taker() {
             @Override
             public List<String> take(Configuration configuration) {
