--- a/src/test/java/mastdrift/net/DrainTest.java
+++ b/src/test/java/mastdrift/net/DrainTest.java
@@ -264,4 +264,15 @@
         eventually(() -> log().contains("list 5"));
         assertTrue(!log().contains("odd answer"), log());
     }
+
+    /** Which of the two copies is meant can't be told; that one was told to drain is certain. */
+    @Test
+    void aUidOfWhichOneCopyDrainsIsDrained() throws Exception {
+        Socket watch = watch();
+        tell(watch, list(3, true, up("s1", one), up("s2", two)));
+        eventually(() -> log().contains("list 3"));
+        tell(watch, list(4, false, drained(), up("s1", one)));
+        eventually(() -> log().contains("odd answer"));
+        assertNothingGoesToTheFirst();
+    }
 }
