--- a/src/main/java/mastdrift/engine/EndpointGate.java
+++ b/src/main/java/mastdrift/engine/EndpointGate.java
@@ -32,6 +32,7 @@
     private record Instance(String uid, long startedAt) { }
 
     private final Map<String, Endpoint> inService = new HashMap<>();
+    private final Transitions transitions = new Transitions();
     private final Map<Instance, Long> endedBy = new LinkedHashMap<>();
     private long newest;
 
@@ -45,6 +46,11 @@
         return Set.copyOf(inService.keySet());
     }
 
+    /** What has begun and ended its service since this was asked last, in words; empty for nothing. */
+    public String takeTransitions() {
+        return transitions.take();
+    }
+
     /** A version newer than any so far, for sources that have none of their own. */
     public long nextVersion() {
         return newest + 1;
@@ -66,7 +72,7 @@
         for (Member entry : entries) {
             named.add(entry.host().address());
             if (entry.host().health() != Health.UP) {
-                end(entry.host(), version);
+                end(entry.host(), version, entry.host().health() == Health.GONE ? Transitions.Cause.REMOVED : Transitions.Cause.DRAINING);
                 inForce.add(entry);
             } else if (isOutdated(version, entry.host())) {
                 continue;
@@ -78,7 +84,7 @@
         }
         if (whole) {
             List.copyOf(inService.values()).stream().filter(endpoint -> !named.contains(endpoint.uid()))
-                    .forEach(endpoint -> end(endpoint, version));
+                    .forEach(endpoint -> end(endpoint, version, Transitions.Cause.LEFT_OUT));
         }
         return inForce;
     }
@@ -97,7 +103,7 @@
         for (Member entry : leaving) {
             Endpoint known = inService.get(entry.host().address());
             if (known != null && entry.host().born() >= known.startedAt()) {
-                end(known, version - 1);
+                end(known, version - 1, Transitions.Cause.DRAINING);
                 changes.add(with(entry.host().health(), known.host(), known.address()));
             }
             remember(new Instance(entry.host().address(), entry.host().born()), version - 1);
@@ -105,7 +111,7 @@
         if (named != null) {
             for (Endpoint endpoint : List.copyOf(inService.values())) {
                 if (!named.contains(endpoint.uid()) && endpoint.openedBy() <= version) {
-                    end(endpoint, version - 1);
+                    end(endpoint, version - 1, Transitions.Cause.LEFT_OUT);
                     changes.add(with(Health.LEAVING, endpoint.host(), endpoint.address()));
                 }
             }
@@ -134,24 +140,27 @@
         if (!same) {
             if (known != null) {
                 known.endService();
+                transitions.ended(known.uid(), Transitions.Cause.REPLACED);
             }
             endedBy.remove(instance);
             inService.put(host.address(), new Endpoint(entry, version));
+            transitions.began(host.address());
         } else {
             known.describe(host);
         }
         return true;
     }
 
-    private void end(Host host, long version) {
+    private void end(Host host, long version, Transitions.Cause cause) {
         Endpoint known = inService.get(host.address());
         if (known != null) {
-            end(known, version);
+            end(known, version, cause);
         }
         remember(new Instance(host.address(), host.born()), version);
     }
 
-    private void end(Endpoint endpoint, long version) {
+    private void end(Endpoint endpoint, long version, Transitions.Cause cause) {
+        transitions.ended(endpoint.uid(), cause);
         endpoint.endService();
         inService.remove(endpoint.uid());
         remember(new Instance(endpoint.uid(), endpoint.startedAt()), version);
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import mastdrift.Balancer;
+import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Why;
 import mastdrift.lateness.Turns;
 
@@ -181,6 +182,13 @@
         call.release();
     }
 
+    /** An attempt has ended, which may end its request next. */
+    void attemptEnded(Exchange exchange, String uid, Outcome outcome) {
+        if (witness != null && !exchange.ended) {
+            witness.attemptEnded(exchange.call, uid, outcome);
+        }
+    }
+
     private void sayLate() {
         if (turns.standing() >= LATE_SAID && now() - saidAt >= SAID_EVERY) {
             saidAt = now();
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -117,12 +117,15 @@
 
     /** Likewise, of a version, which may be older than the one in force: then no instance that a newer one took out of service comes back. */
     public void learn(ListForm form, long version, List<Member> members) {
-        putInForce(form, gate.take(version, form != ListForm.DELTA, members));
+        List<Member> inForce = gate.take(version, form != ListForm.DELTA, members);
+        logTransitions("version " + version);
+        putInForce(form, inForce);
     }
 
     /** Takes out of service whom a list that is not taken says is draining or gone; see {@link EndpointGate#withdraw}. Returns how many. */
     public int withdraw(long version, Set<String> named, List<Member> leaving) {
         List<Member> changes = gate.withdraw(version, named, leaving);
+        logTransitions("version " + version + ", which is not put in force,");
         if (!changes.isEmpty()) {
             putInForce(ListForm.DELTA, changes);
         }
@@ -134,6 +137,13 @@
         withdraw(gate.nextVersion(), null, leaving);
     }
 
+    private void logTransitions(String by) {
+        String transitions = gate.takeTransitions();
+        if (!transitions.isEmpty()) {
+            ledger.log("by " + by + " " + transitions);
+        }
+    }
+
     private void putInForce(ListForm form, List<Member> members) {
         transport.update(form != ListForm.DELTA, members);
         List<Host> hosts = members.stream().map(Member::host).toList();
@@ -213,6 +223,7 @@
             own += outcome == Outcome.EXPIRED ? ledger.turns().behind(now) : ledger.turns().own(now);
             long elapsed = Math.max(all - own, Math.min(all, LEAST));
             exchange.late = outcome == Outcome.EXPIRED;
+            ledger.attemptEnded(exchange, uid, outcome);
             if (outcome == Outcome.DELIVERED && !exchange.ended) {
                 ledger.served(exchange, answer);
             } else if (exchange.client.left()) {
--- a/src/main/java/mastdrift/engine/Witness.java
+++ b/src/main/java/mastdrift/engine/Witness.java
@@ -1,5 +1,6 @@
 package mastdrift.engine;
 
+import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Why;
 
 /** Hears of each request that a ledger takes, and of its final answer, on the loop's thread. It sees and changes nothing. */
@@ -11,6 +12,9 @@
     /** A request was taken; the call is whole until its end has been told. */
     void taken(Call call, Ask ask);
 
+    /** An attempt of a request that has not ended yet ended at a host. */
+    default void attemptEnded(Call call, String uid, Outcome outcome) { }
+
     /** Its end, exactly once; {@code why} is of a refusal, else null. */
     void ended(Call call, End end, Why why);
 }
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -48,6 +48,9 @@
         /** A call has failed, or a watch has ended. */
         void failed(String cause);
 
+        /** Something happened to a call that is worth a line of the log. */
+        default void noted(String line) { }
+
         /** A call begins. */
         default void called() { }
     }
@@ -58,6 +61,7 @@
     private final ListIntake intake;
     private final Asked watch;
     private final Asked fetch;
+    private int numbered;  // calls
     private int reading;  // calls, one within another where one ends others
 
     /** {@code known} is the list in force already. Calls may have to wait for their turn. */
@@ -180,7 +184,11 @@
             }
             for (Channel late : schedule.overdue(now())) {
                 DiscoveryCall call = call(late);
-                failed(late, call == null || !late.isActive() ? "no connection" : call.lacks(schedule.bound(late)));
+                String lack = call == null || !late.isActive() ? "no connection" : call.lacks(schedule.bound(late));
+                if (call != null) {
+                    call.endFor(lack);
+                }
+                failed(late, lack);
                 late.close();
             }
         }
@@ -191,7 +199,7 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpClientCodec(), new DiscoveryCall(Asked.this, watching, intake));
+                            channel.pipeline().addLast(new HttpClientCodec(), new DiscoveryCall(++numbered, Asked.this, watching, intake));
                         }
                     }).connect(at);
         }
@@ -214,7 +222,7 @@
             for (Channel channel : calls) {
                 DiscoveryCall call = call(channel);
                 if (call != null) {
-                    call.end();
+                    call.end("another call goes on in its place, or nobody asks any more");
                     Look.through(channel, LOOKS);
                 }
                 channel.close();
@@ -263,6 +271,11 @@
             loop.execute(this::step);  // once all that this turn found has been read: another call's line may be among it
         }
 
+        @Override
+        public void noted(String line) {
+            listener.noted(line);
+        }
+
         @Override
         public void reading(boolean begins) {
             reading += begins ? 1 : -1;
--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -45,10 +45,14 @@
         /** Its connection has ended. */
         void ended(DiscoveryCall call, String cause);
 
+        /** Something happened to it that is worth a line of the log. */
+        void noted(String line);
+
         /** What it tells is being put in force, or not any more. */
         void reading(boolean begins);
     }
 
+    private final int number;
     private final Owner owner;
     private final boolean watching;
     private final ListIntake intake;
@@ -62,20 +66,29 @@
     private long told = Long.MIN_VALUE;  // the last version that this one told
     private String cause = "the connection ended";
     private long upSince;
+    private long listBegan;  // when the first bytes of what is not whole yet came; 0 where nothing stands there
+    private int lists;  // that were told
 
-    DiscoveryCall(Owner owner, boolean watching, ListIntake intake) {
+    DiscoveryCall(int number, Owner owner, boolean watching, ListIntake intake) {
+        this.number = number;
         this.owner = owner;
         this.watching = watching;
         this.intake = intake;
     }
 
     /** Nobody waits for it any more: what stands unread on it counts as told, and nothing else. */
-    void end() {
+    void end(String why) {
+        endFor(why);
         if (standing == Standing.CURRENT) {
             standing = Standing.ENDING;
         }
     }
 
+    /** Why it is to end, for the log. */
+    void endFor(String why) {
+        cause = standing == Standing.REFUSED ? cause : why;
+    }
+
     /** Another call has told all up to the version in force. */
     void cover() {
         covered = intake.version();
@@ -99,6 +112,7 @@
     @Override
     public void channelActive(ChannelHandlerContext given) {
         upSince = System.nanoTime();
+        note((watching ? "watch" : "fetch") + " from " + intake.askFrom() + " is up");
         given.fireChannelActive();
     }
 
@@ -119,12 +133,33 @@
             owner.reading(true);
             try {
                 read(part instanceof LastHttpContent);
+                noteUnfinished();
             } finally {
                 owner.reading(false);
             }
         }
     }
 
+    private void note(String what) {
+        owner.noted("call " + number + " to discovery: " + what);
+    }
+
+    private static long millisSince(long nanos) {
+        return (System.nanoTime() - nanos) / 1_000_000;
+    }
+
+    /** What stays incomplete is said once, and how long that took once it is whole. */
+    private void noteUnfinished() {
+        boolean unfinished = text.isReadable();
+        if (unfinished && listBegan == 0) {
+            listBegan = System.nanoTime();
+            note("a list has begun, " + text.readableBytes() + " bytes of it came");
+        } else if (!unfinished && listBegan != 0) {
+            note("the list that had begun was read to its end after " + millisSince(listBegan) + " ms");
+            listBegan = 0;
+        }
+    }
+
     private void read(boolean whole) {
         if (watching) {
             readValues();
@@ -185,11 +220,13 @@
             slice.writerIndex(length - 1);
         }
         byte[] value = ByteBufUtil.getBytes(slice);
+        lists++;
         if (new String(value, StandardCharsets.UTF_8).isBlank()) {
             return;
         }
         try {
             HostList.Reading reading = ListIntake.read(value);
+            note("tells version " + reading.list().rev());
             if (standing == Standing.REFUSED) {
                 intake.withdraw(reading);
             } else if (!repeats(reading.list().rev())) {
@@ -226,6 +263,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext given) {
+        note("ended " + millisSince(upSince) + " ms after it was up, " + lists + " lines told, " + cause
+                + (text.isReadable() ? "; " + text.readableBytes() + " bytes of a list that is not whole, the first " + millisSince(listBegan) + " ms ago" : ""));
         owner.ended(this, cause);
     }
 
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -46,6 +46,7 @@
             }
         };
         Discovery.Listener listener = new Lists();
+        ledger.witness(new RequestLog(timed.clock()::now, this::log));
         if (tally) {
             Tracing tracing = new Tracing(hosts, timed, config.settings(), this::log);
             ledger.witness(tracing);
@@ -57,6 +58,7 @@
         discovery = new Discovery(loop, config.discovery(), !config.settings().registryOnRequest(), config.known(), listener);
         ledger.notifications(discovery::look);
         pool.start(source, config.known().rev(), config.known().entries());
+        log("settings: lists are " + (config.settings().registryOnRequest() ? "asked for" : "pushed") + ", " + config.settings().rules());
         logList(config.known());
         if (!config.settings().registryOnRequest()) {
             discovery.watch(true);
@@ -114,6 +116,11 @@
             return hosts > 0;
         }
 
+        @Override
+        public void noted(String line) {
+            log(line);
+        }
+
         @Override
         public void failed(String cause) {
             log("discovery failed: " + cause);
--- a/src/main/java/mastdrift/net/Tallying.java
+++ b/src/main/java/mastdrift/net/Tallying.java
@@ -103,6 +103,11 @@
                 then.failed(cause);
             }
 
+            @Override
+            public void noted(String line) {
+                then.noted(line);
+            }
+
             @Override
             public void called() {
                 second.add(Count.CALLS);
