The list in force has a lease: none is sent to by it once what was told may be unheard

Root cause: EndpointGate let through whatever the list in force names, for however long no watch stood behind that list. A watch that ends in place of a notification leaves a gap that the next call closes, and calls wait for their turn: 2.2 to 2.9 s where twenty gateways call, while what was not told counts after 2 s. Lines at fault: Discovery.ended and EndpointGate.take, neither of which knew how old a list may get. Its class: a view from outside that is relied on without bound. Change: membership.ListLease says until when the list may be relied on (2 s from a watch's end, 6 s from its last line where it fell silent, 4 s from a move, 0.2 s from the begin of a list that doesn't come whole; lifted by a list, or by a failed call with none out, since a registry that refuses may be away). Endpoint.maySend asks it at each first byte; new requests are refused at once meanwhile (Why.LIST). Related: a drain in a list that is cut or slow is heeded with its entry (PartOfList), it was lost with the list.

--- a/src/main/java/mastdrift/Balancer.java
+++ b/src/main/java/mastdrift/Balancer.java
@@ -52,9 +52,9 @@
         }
     }
 
-    /** What a refusal comes of: the hosts, the tenant's share, the gateway itself, which can't keep up, or a bound on what may cross
-        zones. */
-    enum Why { HOSTS, SHARE, GATEWAY, ZONES }
+    /** What a refusal comes of: the hosts, the tenant's share, the gateway itself, which can't keep up, a bound on what may cross
+        zones, or a list of hosts that may not be relied on. */
+    enum Why { HOSTS, SHARE, GATEWAY, ZONES, LIST }
 
     /** What it weighs for one request to go to a zone; asked at each choice, so that the answer is of the moment. */
     interface Crossing {
--- a/src/main/java/mastdrift/engine/Endpoint.java
+++ b/src/main/java/mastdrift/engine/Endpoint.java
@@ -1,6 +1,7 @@
 package mastdrift.engine;
 
 import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
 import mastdrift.Balancer.Host;
 
 /**
@@ -12,13 +13,15 @@
 
     private final InetSocketAddress address;
     private final long openedBy;
+    private final BooleanSupplier listHolds;
     private Host host;
     private boolean inService = true;
 
-    Endpoint(Member member, long openedBy) {
+    Endpoint(Member member, long openedBy, BooleanSupplier listHolds) {
         host = member.host();
         address = member.at();
         this.openedBy = openedBy;
+        this.listHolds = listHolds;
     }
 
     /** The server's name, the same over its starts. */
@@ -36,8 +39,13 @@
         return host.born();
     }
 
-    /** Whether anything new may be sent there. */
+    /** Whether anything new may be sent there by now. */
     public boolean maySend() {
+        return inService && listHolds.getAsBoolean();
+    }
+
+    /** Whether its service goes on, by the list in force; for a while nothing may be sent there all the same. */
+    public boolean isInService() {
         return inService;
     }
 
--- a/src/main/java/mastdrift/engine/EndpointGate.java
+++ b/src/main/java/mastdrift/engine/EndpointGate.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import mastdrift.Balancer.Health;
 import mastdrift.Balancer.Host;
 
@@ -34,8 +35,20 @@
     private final Map<String, Endpoint> inService = new HashMap<>();
     private final Transitions transitions = new Transitions();
     private final Map<Instance, Long> endedBy = new LinkedHashMap<>();
+    private final BooleanSupplier listHolds;
     private long newest;
 
+    /** A gate whose lists hold until the next one. */
+    public EndpointGate() {
+        this(() -> true);
+    }
+
+    /** {@code listHolds}: whether the list in force may be relied on by now. While it may not, nothing new begins anywhere: whose drain
+        was told and not heard can't be known. */
+    public EndpointGate(BooleanSupplier listHolds) {
+        this.listHolds = listHolds;
+    }
+
     /** The server's instance in service; null where there is none. */
     public Endpoint find(String uid) {
         return inService.get(uid);
@@ -143,7 +156,7 @@
                 transitions.ended(known.uid(), Transitions.Cause.REPLACED);
             }
             endedBy.remove(instance);
-            inService.put(host.address(), new Endpoint(entry, version));
+            inService.put(host.address(), new Endpoint(entry, version, listHolds));
             transitions.began(host.address());
         } else {
             known.describe(host);
--- a/src/main/java/mastdrift/engine/Ledger.java
+++ b/src/main/java/mastdrift/engine/Ledger.java
@@ -160,6 +160,10 @@
             if (exchange.ended) {
                 return;  // it was held back, and its client left meanwhile: nobody is to be asked, and no host found for it
             }
+            if (!pool.listHolds()) {  // nobody could be sent to: a new try, maybe at another gateway, does no harm
+                refuse(exchange, retryAfter(pool), Why.LIST);
+                return;
+            }
             pool.own(at);
             long left = Math.max(0, exchange.endsAt - at);  // of which it may have spent some held back
             pool.module().request(at, new Balancer.Request(exchange.id, ask.className(), ask.tenant(), ask.key(), left,
@@ -171,8 +175,12 @@
     private void turnedAway(Pool pool, Client client, Call call, Ask ask) {
         over(call, Witness.End.REFUSED, Why.GATEWAY);
         count.refused(ask.className(), Why.GATEWAY);
+        client.refused(retryAfter(pool));
+    }
+
+    private static long retryAfter(Pool pool) {
         Balancer.Limits limits = pool.settings().limits();
-        client.refused(limits.retryAfter() ? limits.maxRetryAfter() : 0);
+        return limits.retryAfter() ? limits.maxRetryAfter() : 0;
     }
 
     private void over(Call call, Witness.End end, Why why) {
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -29,7 +29,7 @@
     private final Balancer module;
     private final Settings settings;
     private final Transport transport;
-    private final EndpointGate gate = new EndpointGate();
+    private final EndpointGate gate = new EndpointGate(this::listHolds);
     private PoolZones zones;
     private OwnWork work;
     private Source source = Source.TELLS;
@@ -91,6 +91,11 @@
         return settings;
     }
 
+    /** Whether anybody may be sent to by the list in force. */
+    boolean listHolds() {
+        return source.listHolds();
+    }
+
     Balancer module() {
         return module;
     }
--- a/src/main/java/mastdrift/engine/Source.java
+++ b/src/main/java/mastdrift/engine/Source.java
@@ -17,4 +17,9 @@
 
     /** Asks for the whole list, once. */
     void fetch();
+
+    /** Whether the list that it told last may be relied on by now. */
+    default boolean listHolds() {
+        return true;
+    }
 }
--- a/src/main/java/mastdrift/net/ConnectionPool.java
+++ b/src/main/java/mastdrift/net/ConnectionPool.java
@@ -97,7 +97,7 @@
     /** Endpoints that may be sent nothing any more lose their idle connections at once. */
     void closeEnded() {
         idle.values().removeIf(held -> {
-            boolean ended = !held.endpoint.maySend();
+            boolean ended = !held.endpoint.isInService();
             if (ended) {
                 closeAll(held);
             }
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -19,7 +19,9 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import mastdrift.engine.Member;
+import mastdrift.membership.ListLease;
 
 /** Fetches and watches the list of hosts. That calls fail, or a watch ends, is told; the module decides when to ask again, and
     {@link CallSchedule} by when at the latest. Discovery may move: then what was asked for is asked for at the new address. What has been
@@ -55,7 +57,19 @@
         default void called() { }
     }
 
+    /**
+     * How the registry tells its lists.
+     *
+     * @param pushed whether by an agent of this machine, which answers at once or is away; else calls may have to wait for their turn
+     * @param mustAskIn for how long a list counts without a watch, in microseconds; 0 where no setting says so
+     * @param unseen for how long at the most what is being handled now may have been there, in microseconds
+     */
+    record Terms(boolean pushed, long mustAskIn, LongSupplier unseen) { }
+
     private final EventLoop loop;
+    private final Terms terms;
+    private final ListLease lease;
+    private boolean listHeld = true;  // when that was asked last
     private InetSocketAddress at;
     private final Listener listener;
     private final ListIntake intake;
@@ -66,16 +80,18 @@
 
     /** {@code known} is the list in force already. Calls may have to wait for their turn. */
     public Discovery(EventLoop loop, InetSocketAddress at, HostList known, Listener listener) {
-        this(loop, at, false, known, listener);
+        this(loop, at, new Terms(false, 0, () -> 0), known, listener);
     }
 
-    /** Likewise, where lists are {@code pushed}: calls are answered at once. */
-    Discovery(EventLoop loop, InetSocketAddress at, boolean pushed, HostList known, Listener listener) {
+    /** Likewise, by other terms. */
+    Discovery(EventLoop loop, InetSocketAddress at, Terms terms, HostList known, Listener listener) {
         this.loop = loop;
         this.at = at;
+        this.terms = terms;
+        lease = new ListLease(terms.mustAskIn);
         this.listener = listener;
-        intake = new ListIntake(known, listener);
-        long turn = pushed ? CallSchedule.AGENT_TURN : CallSchedule.TURN;
+        intake = new ListIntake(known, new Leasing(listener));
+        long turn = terms.pushed ? CallSchedule.AGENT_TURN : CallSchedule.TURN;
         watch = new Asked(true, turn);
         fetch = new Asked(false, turn);
     }
@@ -96,6 +112,21 @@
         fetch.step();
     }
 
+    /** Whether the list in force may be relied on by now. An agent of this machine that says nothing hears nothing itself: then it always may. */
+    public boolean listHolds() {
+        boolean holds = terms.pushed || lease.holds(now());
+        if (holds != listHeld) {
+            listHeld = holds;
+            listener.noted(holds ? "the list is relied on again" : "the list is not relied on: it was told more than was heard, maybe");
+        }
+        return holds;
+    }
+
+    /** The earliest moment at which what is being handled now may have come. */
+    private long arrived() {
+        return now() - terms.unseen.getAsLong();
+    }
+
     /** Reads what stands unread on its calls: in force once this returns. On the loop's thread. Returns false where more may stand there: while a call
         is being read nothing is, since what that one tells comes first. */
     public boolean look() {
@@ -119,12 +150,17 @@
             return;
         }
         at = to;
+        lease.moved(now());
         for (Asked asked : List.of(watch, fetch)) {
             asked.end(asked.schedule.moved(now()));
             asked.step();
         }
     }
 
+    private boolean noneOut() {
+        return watch.schedule.calls().isEmpty() && fetch.schedule.calls().isEmpty();
+    }
+
     private static long now() {
         return System.nanoTime() / 1_000;
     }
@@ -134,6 +170,32 @@
         return channel.pipeline().get(DiscoveryCall.class);
     }
 
+    /** Tells the lease of each list that is put in force. */
+    private final class Leasing implements Listener {
+
+        private final Listener then;
+
+        Leasing(Listener then) {
+            this.then = then;
+        }
+
+        @Override
+        public void listed(HostList list) {
+            lease.listed();
+            then.listed(list);
+        }
+
+        @Override
+        public boolean withdrawn(Withdrawal withdrawal) {
+            return then.withdrawn(withdrawal);
+        }
+
+        @Override
+        public void failed(String cause) {
+            then.failed(cause);
+        }
+    }
+
     /** What is asked for, and the calls that are out for it. */
     private final class Asked implements DiscoveryCall.Owner {
 
@@ -157,6 +219,7 @@
             long now = now();
             if (schedule.begins(now)) {
                 listener.called();
+                lease.called(now);
                 ChannelFuture dialled = dial();
                 schedule.began(now, dialled.channel());
                 // Where there is no descriptor left, the library says so on a thread of its own.
@@ -188,6 +251,9 @@
                 if (call != null) {
                     call.endFor(lack);
                 }
+                if (schedule.out(late) && watching && call != null && call.hasTold()) {
+                    lease.watchSilent();
+                }
                 failed(late, lack);
                 late.close();
             }
@@ -230,9 +296,16 @@
         }
 
         private void failed(Channel channel, String cause) {
+            DiscoveryCall call = call(channel);
+            boolean counts = schedule.out(channel);
+            boolean told = watching && call != null && call.hasTold();
             if (schedule.failed(now(), channel)) {
                 listener.failed(cause);
             }
+            boolean cut = call != null && call.isUnfinished();  // it had something to tell, which is not heard by this
+            if (counts && !told && !cut && noneOut()) {
+                lease.callFailed();
+            }
         }
 
         @Override
@@ -240,8 +313,16 @@
             return schedule.out(call.channel());
         }
 
+        @Override
+        public void begun(DiscoveryCall call) {
+            if (watching) {
+                lease.watchBegan(arrived());
+            }
+        }
+
         @Override
         public void lineCame(DiscoveryCall call) {
+            lease.lineCame(arrived());
             endOthers(schedule.heard(now(), call.channel()), call);
         }
 
@@ -265,8 +346,20 @@
             });
         }
 
+        @Override
+        public void unfinished(boolean begins) {
+            if (begins) {
+                lease.listBegan(arrived());
+            } else {
+                lease.nothingUnfinished();
+            }
+        }
+
         @Override
         public void ended(DiscoveryCall call, String cause) {
+            if (watching && call.hasTold() && schedule.out(call.channel())) {
+                lease.watchEnded(arrived());
+            }
             failed(call.channel(), cause);
             loop.execute(this::step);  // once all that this turn found has been read: another call's line may be among it
         }
--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -11,6 +11,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
+import mastdrift.engine.Member;
 
 /** One call to discovery: its answer is one list, or one a line for as long as it stays open. */
 final class DiscoveryCall extends SimpleChannelInboundHandler<HttpObject> {
@@ -33,6 +36,9 @@
         /** Whether the call still counts. */
         boolean counts(DiscoveryCall call);
 
+        /** Its answer has begun. */
+        void begun(DiscoveryCall call);
+
         /** A line has come, empty maybe: it lives. */
         void lineCame(DiscoveryCall call);
 
@@ -42,6 +48,9 @@
         /** A list was refused: the call is to end once what stands unread on it has been read. */
         void refused(DiscoveryCall call);
 
+        /** A list has begun to come and isn't whole, or nothing stands unfinished any more. */
+        void unfinished(boolean begins);
+
         /** Its connection has ended. */
         void ended(DiscoveryCall call, String cause);
 
@@ -61,6 +70,7 @@
     private ByteBuf text;
     private int looked;  // so many bytes of it have been looked through
     private int lineBegin;  // within the value that has begun
+    private final ArrayDeque<Integer> entryEnds = new ArrayDeque<>();  // within it, of those that were not looked into yet
     private Standing standing = Standing.CURRENT;
     private long covered = Long.MIN_VALUE;  // what another call has told: up to that this one repeats it
     private long told = Long.MIN_VALUE;  // the last version that this one told
@@ -94,6 +104,16 @@
         covered = intake.version();
     }
 
+    /** Whether it has told a line, an empty one maybe. */
+    boolean hasTold() {
+        return lists > 0;
+    }
+
+    /** Whether a list has begun to come on it that isn't whole. */
+    boolean isUnfinished() {
+        return listBegan != 0 && PartOfList.mayBeNews(bytes(0, text.readableBytes()), intake.version());
+    }
+
     io.netty.channel.Channel channel() {
         return context.channel();
     }
@@ -128,11 +148,14 @@
         } else if (part instanceof HttpResponse response && response.status().code() != 200) {
             cause = "status " + response.status().code() + " after " + (System.nanoTime() - upSince) / 1_000_000 + " ms";
             given.close();
+        } else if (part instanceof HttpResponse) {
+            owner.begun(this);
         } else if (part instanceof HttpContent content) {
             text.discardReadBytes().writeBytes(content.content());
             owner.reading(true);
             try {
                 read(part instanceof LastHttpContent);
+                heedDrains();
                 noteUnfinished();
             } finally {
                 owner.reading(false);
@@ -153,10 +176,14 @@
         boolean unfinished = text.isReadable();
         if (unfinished && listBegan == 0) {
             listBegan = System.nanoTime();
+            if (PartOfList.mayBeNews(bytes(0, text.readableBytes()), intake.version())) {
+                owner.unfinished(true);
+            }
             note("a list has begun, " + text.readableBytes() + " bytes of it came");
         } else if (!unfinished && listBegan != 0) {
             note("the list that had begun was read to its end after " + millisSince(listBegan) + " ms");
             listBegan = 0;
+            owner.unfinished(false);
         }
     }
 
@@ -182,6 +209,7 @@
             switch (lines.next(text.getByte(text.readerIndex() + looked++))) {
                 case VALUE -> valueEnds();
                 case OBJECT_LINE -> objectLineEnds();
+                case ENTRY -> entryEnds.add(looked);
                 default -> {
                     if (text.getByte(text.readerIndex() + looked - 1) == '\n') {
                         lineBegin = looked;
@@ -193,6 +221,7 @@
 
     private void valueEnds() {
         int length = looked;
+        entryEnds.clear();
         looked = 0;
         lineBegin = 0;
         take(length);
@@ -206,6 +235,7 @@
         byte[] line = ByteBufUtil.getBytes(text, text.readerIndex() + lineBegin, looked - lineBegin);
         if (new String(line, StandardCharsets.ISO_8859_1).contains(new String(LIST_KEY, StandardCharsets.US_ASCII))) {
             refuse("expected the rest of a list, found another one behind " + lineBegin + " bytes");
+            heedDrains();
             text.skipBytes(lineBegin);
             looked -= lineBegin;
             lines.restart();
@@ -214,6 +244,21 @@
         lineBegin = looked;
     }
 
+    /** Of a list that isn't whole yet, and may never be, drains and removals are certain as soon as their entry has come. */
+    private void heedDrains() {
+        Long version = entryEnds.isEmpty() ? null : PartOfList.version(bytes(0, text.readableBytes()));
+        for (Integer end = entryEnds.poll(); end != null; end = entryEnds.poll()) {
+            Member leaving = version == null || version < intake.version() ? null : PartOfList.leaving(bytes(0, end));
+            if (leaving != null) {
+                intake.withdraw(new HostList.Reading(new HostList(version, false, List.of(leaving)), null, List.of(leaving), null));
+            }
+        }
+    }
+
+    private byte[] bytes(int from, int until) {
+        return ByteBufUtil.getBytes(text, text.readerIndex() + from, until - from);
+    }
+
     private void take(int length) {
         ByteBuf slice = text.readSlice(length);
         if (length > 0 && slice.getByte(length - 1) == '\n') {  // it ended what may be cut off, and is no part of it
--- a/src/main/java/mastdrift/net/EndpointConnection.java
+++ b/src/main/java/mastdrift/net/EndpointConnection.java
@@ -102,7 +102,7 @@
 
     /** It was paid for, and carried nothing that could still be answered. Where it has been used, its endpoint counts from then. */
     private void giveBack(long now) {
-        if (endpoint.maySend() && channel.isActive()) {
+        if (endpoint.isInService() && channel.isActive()) {
             idleSince = used ? idleSince : now;
             rest();
         } else {
@@ -173,7 +173,7 @@
             if (answers.isMidway()) {
                 attempt.startStall(pool.timers(), STALL);
             }
-        } else if (answered && !answers.isMidway() && endpoint.maySend()) {
+        } else if (answered && !answers.isMidway() && endpoint.isInService()) {
             interim = 0;
             rest();
         } else if (!idling || answers.isMidway()) {  // else it was looked at, and nothing stood there
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -44,6 +44,11 @@
             public void fetch() {
                 discovery.fetch();
             }
+
+            @Override
+            public boolean listHolds() {
+                return discovery == null || discovery.listHolds();  // null while the known list is put in force
+            }
         };
         Discovery.Listener listener = new Lists();
         ledger.witness(new RequestLog(timed.clock()::now, this::log));
@@ -55,7 +60,8 @@
             listener = tallying.counted(listener);
         }
         pool = new Pool("hosts", ledger, module, config.settings(), hosts);
-        discovery = new Discovery(loop, config.discovery(), !config.settings().registryOnRequest(), config.known(), listener);
+        Discovery.Terms terms = new Discovery.Terms(!config.settings().registryOnRequest(), config.settings().rules().mustAskIn(), ledger::unseen);
+        discovery = new Discovery(loop, config.discovery(), terms, config.known(), listener);
         ledger.notifications(discovery::look);
         pool.start(source, config.known().rev(), config.known().entries());
         log("settings: lists are " + (config.settings().registryOnRequest() ? "asked for" : "pushed") + ", " + config.settings().rules());
@@ -112,7 +118,7 @@
         @Override
         public boolean withdrawn(Discovery.Withdrawal withdrawal) {
             int hosts = pool.withdraw(withdrawal.version(), withdrawal.named(), withdrawal.leaving());
-            log("of what was refused, " + hosts + " hosts are drained or removed");
+            log("of a list that is not in force, " + hosts + " hosts are drained or removed");
             return hosts > 0;
         }
 
--- a/src/main/java/mastdrift/net/HostList.java
+++ b/src/main/java/mastdrift/net/HostList.java
@@ -75,6 +75,18 @@
         }
     }
 
+    /** An entry by itself, where it surely says that a host drains or is gone; else null. */
+    static Member leaving(Map<?, ?> target) {
+        List<Member> leaving = new ArrayList<>();
+        try {
+            Member entry = entry(target);
+            return entry.host().health() == Health.UP ? null : entry;
+        } catch (IllegalArgumentException | ArithmeticException e) {
+            leaves(target, leaving);
+            return leaving.isEmpty() ? null : leaving.get(0);
+        }
+    }
+
     private static Member entry(Map<?, ?> target) {
         String uid = Config.text(target, "uid");
         String state = Config.text(target, "state");
--- a/src/main/java/mastdrift/net/JsonLines.java
+++ b/src/main/java/mastdrift/net/JsonLines.java
@@ -11,10 +11,14 @@
         NOTHING,
         /** A value, an empty line, or something that can't be either. */
         VALUE,
+        /** An object two levels within a value that has begun: an entry of a list. */
+        ENTRY,
         /** A line that is an object by itself, within a value that has begun: an entry of that, or a value behind one that was cut off. */
         OBJECT_LINE
     }
 
+    private static final int ENTRIES = 2;  // a list is an object with an array of them
+
     private int depth;
     private int lineDepth;  // at the line's begin
     private boolean opensObject;  // the line, with its first token
@@ -42,7 +46,7 @@
             depth++;
         } else if (next == '}' || next == ']') {
             depth--;
-            return depth == 0 ? valueEnds() : End.NOTHING;
+            return depth == 0 ? valueEnds() : depth == ENTRIES && next == '}' ? End.ENTRY : End.NOTHING;
         }
         return End.NOTHING;
     }
--- a/src/main/java/mastdrift/tally/Count.java
+++ b/src/main/java/mastdrift/tally/Count.java
@@ -16,7 +16,7 @@
     /** Calls to discovery, those that failed, and lists that came, whole or changes. */
     CALLS, CALLS_FAILED, LISTS,
     /** Final answers. */
-    SERVED, REFUSED_HOSTS, REFUSED_SHARE, REFUSED_GATEWAY, REFUSED_ZONES, FAILED,
+    SERVED, REFUSED_HOSTS, REFUSED_SHARE, REFUSED_GATEWAY, REFUSED_ZONES, REFUSED_LIST, FAILED,
     /** Requests that were taken and not followed: more came in that second than are. */
     UNFOLLOWED;
 
--- a/src/test/java/mastdrift/net/DrainTest.java
+++ b/src/test/java/mastdrift/net/DrainTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import mastdrift.membership.ListLease;
 import mastdrift.net.Loopback.Node;
 import mastdrift.net.Loopback.Server;
 import org.junit.jupiter.api.AfterEach;
@@ -275,4 +276,69 @@
         eventually(() -> log().contains("odd answer"));
         assertNothingGoesToTheFirst();
     }
+
+    private static void part(Socket watch, String text) throws IOException {
+        synchronized (watch) {
+            write(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        }
+    }
+
+    private Socket watchWithBothInService() throws Exception {
+        Socket watch = watch();
+        tell(watch, list(3, true, up("s1", one), up("s2", two)));
+        eventually(() -> log().contains("list 3"));
+        return watch;
+    }
+
+    /** What has been written counts as told, also where its rest stays away: a drain is heeded with its entry, and where no more comes nobody
+        is sent to until the rest, or another list, has come. */
+    @ParameterizedTest
+    @ValueSource(strings = {"stays away", "comes", "ends", "is reset"})
+    void aDrainInAListThatIsNotWholeIsHeeded(String rest) throws Exception {
+        Socket watch = watchWithBothInService();
+        String change = list(4, false, drained(), up("s2", two));
+        int cut = change.length() - 20;
+        part(watch, change.substring(0, cut));
+        eventually(() -> log().contains("s1 ended"));
+        switch (rest) {
+            case "stays away" -> eventually(() -> node.ask(read(20_000)).status() == 503);
+            case "comes" -> part(watch, change.substring(cut) + "\n");
+            case "is reset" -> {
+                watch.setSoLinger(true, 0);
+                watch.close();
+            }
+            default -> watch.close();
+        }
+        if (!rest.equals("comes")) {
+            tell(watch(), list(5, false, up("s2", two)));
+        }
+        eventually(() -> node.ask(read(20_000)).status() == 200);
+        assertNothingGoesToTheFirst();
+    }
+
+    /** Whom the part that stays away would name can't be known: of a whole list those whom it leaves out. */
+    @Test
+    void aWholeListOfWhichOnlyAPartComesIsNotPassedOver() throws Exception {
+        Socket watch = watchWithBothInService();
+        String whole = list(4, true, up("s2", two));
+        part(watch, whole.substring(0, whole.length() - 5));
+        eventually(() -> node.ask(read(20_000)).status() == 503);
+        int before = one.received.size();
+        assertEquals(503, node.ask(read(20_000)).status());
+        assertEquals(before, one.received.size());
+        part(watch, whole.substring(whole.length() - 5) + "\n");
+        eventually(() -> node.ask(read(20_000)).status() == 200);
+        assertNothingGoesToTheFirst();
+    }
+
+    /** An older list can't tell what isn't known, however little of it comes. */
+    @Test
+    void aPartOfAnOlderListChangesNothing() throws Exception {
+        Socket watch = watchWithBothInService();
+        part(watch, "{\"rev\":2,\"all\":true,\"targets\":[" + up("s2", two));
+        eventually(() -> log().contains("a list has begun"));
+        for (long until = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(2 * ListLease.UNFINISHED); System.nanoTime() < until;) {
+            assertEquals(200, node.ask(read(20_000)).status());
+        }
+    }
 }
