lab soak: gateways as processes, ends and faults between them, all rules checked

Need: lab drains found nothing where operators broke rule drain: one class, no ends of processes, no crowds, servers that never fail, one rule checked. Left out: connections to servers that come up late (a loopback accept has no hook for it without privileges), and a client's repeat of its own at another gateway.

--- a/src/main/java/mastdrift/cli/LabCommand.java
+++ b/src/main/java/mastdrift/cli/LabCommand.java
@@ -32,7 +32,7 @@
 
 /** {@code lab}: experiments. */
 @Command(name = "lab", description = "Plays experiments by the model or over loopback, and compares and reports them.",
-        subcommands = {LabCommand.Run.class, LabCommand.Compare.class, LabCommand.Laid.class, LabCommand.ReplayOne.class, LabCommand.Reporting.class, ChaosCommand.class, ScaleCommand.class, DrainsCommand.class},
+        subcommands = {LabCommand.Run.class, LabCommand.Compare.class, LabCommand.Laid.class, LabCommand.ReplayOne.class, LabCommand.Reporting.class, ChaosCommand.class, ScaleCommand.class, DrainsCommand.class, SoakCommand.class},
         mixinStandardHelpOptions = true)
 final class LabCommand implements Runnable {
 
