Soak's oracle: lateness of the rig no longer makes a repeat's arrival the first one's

Cause: of a request that crossed the end of its connection, an arrival was taken for the first sending's where it came up to the rig's lateness behind the end, which is the side of the breach. Change: such an arrival has to be recorded ahead of the end.

--- a/src/main/java/mastdrift/lab/soak/SoakOracle.java
+++ b/src/main/java/mastdrift/lab/soak/SoakOracle.java
@@ -87,7 +87,7 @@
 
     private void judgeArrival(Arrival arrival) {
         SoakRecord.Crossed crossed = crossedById.get(arrival.request());
-        if (crossed != null && arrival.at() - lateAt(arrival.at()) <= crossed.endedAt()) {
+        if (crossed != null && arrival.at() <= crossed.endedAt()) {
             judgeCrossed(arrival, crossed);
             return;
         }
