Servers are told 20 ms less than their clients have left

Cause: what a server is told may be 0.15 s more than its client has left; a hold-up between the clock and the write takes all of that, and the moment in which the request stood unread before is not seen. Change: 20 ms are kept back (HttpAttempt.UNSEEN).

--- a/src/main/java/mastdrift/net/HttpAttempt.java
+++ b/src/main/java/mastdrift/net/HttpAttempt.java
@@ -28,6 +28,9 @@
         default void passed(long sent, long received) { }
     }
 
+    // The slack of what an endpoint is told is as long as a hold-up behind this clock; a request may have stood unread for a moment besides.
+    private static final long UNSEEN = 20_000;
+
     private final Endpoint endpoint;
     private final FullHttpRequest message;
     private final Listener listener;
@@ -86,8 +89,9 @@
         return now >= leaveBy;
     }
 
+    /** For how long its endpoint is told that it is waited for. */
     long millisLeft(long now) {
-        return Math.max(1, (endsAt - now) / 1_000);
+        return Math.max(1, (endsAt - now - UNSEEN) / 1_000);
     }
 
     void connected() {
