What an agent has begun to tell bounds a list too, however little of it has come

Cause: the lease let lists that are pushed stand without bound, and took for a list that has begun only what showed a key of one. Change: of lists by an agent what it has begun to tell bounds them, nothing else (one that is silent has nothing to tell); any object that begins may be a list until its version says that it is older, or it can't be one any more; the bound is 0.1 s, a hold-up of 0.15 s less than the shortest grace (0.2 s before). Pools of other installations that have discovery alone go by the lease, too.

--- a/src/main/java/mastdrift/membership/ListLease.java
+++ b/src/main/java/mastdrift/membership/ListLease.java
@@ -21,13 +21,14 @@
     public static final long SILENT = 6_000_000;
     /** After a move of the registry, likewise. */
     public static final long MOVED = 4_000_000;
-    /** What has been written counts as told, and a rest of it that stays away may name anybody: a gap of a lost packet apart, which is shorter than any grace. */
-    public static final long UNFINISHED = 200_000;
+    /** What has been written counts as told, and a rest of it that stays away may name anybody. With a hold-up of 0.15 s behind it, this is the shortest grace. */
+    public static final long UNFINISHED = 100_000;
     /** How many times as long as settings give between calls a failed call counts. */
     private static final int FAILED_TIMES = 4;
     private static final long NEVER = Long.MAX_VALUE;
 
     private final long mustAskIn;
+    private final boolean byAgent;
     private boolean watched;
     private long lineAt;
     private long calledAt = -1;
@@ -37,7 +38,17 @@
 
     /** {@code mustAskIn}: how long a list counts without a watch, from the last call on; 0 where no setting says so. */
     public ListLease(long mustAskIn) {
+        this(mustAskIn, false);
+    }
+
+    private ListLease(long mustAskIn, boolean byAgent) {
         this.mustAskIn = mustAskIn;
+        this.byAgent = byAgent;
+    }
+
+    /** Of lists that an agent of the gateway's own machine tells: one that is silent has nothing to tell, so that only what it has begun to tell bounds a list. */
+    public static ListLease byAgent() {
+        return new ListLease(0, true);
     }
 
     /** A list has been put in force: all that had been told before is known. */
@@ -106,6 +117,9 @@
 
     /** Until when the list may be relied on, as things stand; the largest number for no end. */
     public long until() {
+        if (byAgent) {
+            return boundByUnfinished;
+        }
         long bound = Math.min(boundByWatch, boundByUnfinished);
         if (watched) {
             return Math.min(bound, lineAt + SILENT);
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -88,7 +88,7 @@
         this.loop = loop;
         this.at = at;
         this.terms = terms;
-        lease = new ListLease(terms.mustAskIn);
+        lease = terms.pushed ? ListLease.byAgent() : new ListLease(terms.mustAskIn);
         this.listener = listener;
         intake = new ListIntake(known, new Leasing(listener));
         long turn = terms.pushed ? CallSchedule.AGENT_TURN : CallSchedule.TURN;
@@ -112,9 +112,9 @@
         fetch.step();
     }
 
-    /** Whether the list in force may be relied on by now. An agent of this machine that says nothing hears nothing itself: then it always may. */
+    /** Whether the list in force may be relied on by now. */
     public boolean listHolds() {
-        boolean holds = terms.pushed || lease.holds(now());
+        boolean holds = lease.holds(now());
         if (holds != listHeld) {
             listHeld = holds;
             listener.noted(holds ? "the list is relied on again" : "the list is not relied on: it was told more than was heard, maybe");
--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -77,6 +77,7 @@
     private String cause = "the connection ended";
     private long upSince;
     private long listBegan;  // when the first bytes of what is not whole yet came; 0 where nothing stands there
+    private boolean newsBegan;  // what is not whole may be a list that tells what isn't known
     private int lists;  // that were told
 
     DiscoveryCall(int number, Owner owner, boolean watching, ListIntake intake) {
@@ -111,7 +112,11 @@
 
     /** Whether a list has begun to come on it that isn't whole. */
     boolean isUnfinished() {
-        return listBegan != 0 && PartOfList.mayBeNews(bytes(0, text.readableBytes()), intake.version());
+        return newsBegan;
+    }
+
+    private boolean mayBeNews() {
+        return PartOfList.mayBeNews(bytes(0, Math.min(text.readableBytes(), PartOfList.HEAD_MOST)), intake.version());
     }
 
     io.netty.channel.Channel channel() {
@@ -174,16 +179,17 @@
     /** What stays incomplete is said once, and how long that took once it is whole. */
     private void noteUnfinished() {
         boolean unfinished = text.isReadable();
+        boolean news = unfinished && mayBeNews();
+        if (news != newsBegan) {
+            newsBegan = news;
+            owner.unfinished(news);
+        }
         if (unfinished && listBegan == 0) {
             listBegan = System.nanoTime();
-            if (PartOfList.mayBeNews(bytes(0, text.readableBytes()), intake.version())) {
-                owner.unfinished(true);
-            }
             note("a list has begun, " + text.readableBytes() + " bytes of it came");
         } else if (!unfinished && listBegan != 0) {
             note("the list that had begun was read to its end after " + millisSince(listBegan) + " ms");
             listBegan = 0;
-            owner.unfinished(false);
         }
     }
 
--- a/src/main/java/mastdrift/net/PartOfList.java
+++ b/src/main/java/mastdrift/net/PartOfList.java
@@ -13,8 +13,8 @@
 
     // Ahead of the entries; where it stands behind them it isn't known yet.
     private static final Pattern VERSION = Pattern.compile("^\\s*\\{[^\\[{]*\"rev\"\\s*:\\s*(\\d{1,18})\\s*[,}]");
-    private static final Pattern KEY = Pattern.compile("\"(rev|all|targets)\"");
-    private static final int HEAD_MOST = 256;
+    private static final Pattern OBJECT = Pattern.compile("^\\s*\\{\\s*(\"|$)");
+    static final int HEAD_MOST = 256;
     private static final String LEAVING = "\"terminat";  // of both states
 
     private PartOfList() { }
@@ -22,7 +22,7 @@
     /** Whether this may be the begin of a list that is no older than a version: one whose version isn't told yet may be. */
     static boolean mayBeNews(byte[] part, long inForce) {
         Long version = version(part);
-        return version == null ? KEY.matcher(head(part)).find() : version >= inForce;
+        return version == null ? OBJECT.matcher(head(part)).find() : version >= inForce;
     }
 
     private static String head(byte[] part) {
--- a/src/main/java/mastdrift/serve/DiscoverySource.java
+++ b/src/main/java/mastdrift/serve/DiscoverySource.java
@@ -99,6 +99,11 @@
         discovery.watch(active && !closed);
     }
 
+    /** See {@link Discovery#listHolds}. */
+    boolean listHolds() {
+        return discovery.listHolds();
+    }
+
     /** Reads what stands unread; see {@link Discovery#look}. */
     boolean look() {
         return discovery.look();
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -373,6 +373,22 @@
         served.pool.learn(ListForm.FULL, list.members());
     }
 
+    /** Of a pool that has its hosts from discovery alone: what files tell holds without it. */
+    private static Source onlySource(DiscoverySource discovery) {
+        return new Source() {
+            @Override
+            public void watch(boolean active) { }  // it is watched for as long as the pool is there
+
+            @Override
+            public void fetch() { }
+
+            @Override
+            public boolean listHolds() {
+                return discovery.listHolds();
+            }
+        };
+    }
+
     private Served open(Configuration next, PoolSettings settings) {
         Settings module = settings(next, settings);
         Transport transport = settings.radius() ? radiusTransport(settings)
@@ -386,7 +402,7 @@
         if (peerWork != null) {
             peerWork.of(pool);
         }
-        pool.start(Source.TELLS, List.of());
+        pool.start(discovery == null || !settings.files().isEmpty() ? Source.TELLS : onlySource(discovery), List.of());
         if (discovery != null) {
             discovery.watch(true);
         }
--- a/src/test/java/mastdrift/membership/ListLeaseTest.java
+++ b/src/test/java/mastdrift/membership/ListLeaseTest.java
@@ -103,6 +103,16 @@
         assertTrue(lease.holds(SECOND + ListLease.UNFINISHED));
     }
 
+    @Test
+    void anAgentThatIsSilentHasNothingToTellButWhatItHasBegun() {
+        ListLease agents = ListLease.byAgent();
+        agents.lineCame(0);
+        agents.watchEnded(SECOND);
+        assertTrue(agents.holds(60 * SECOND));
+        agents.listBegan(60 * SECOND);
+        assertFalse(agents.holds(60 * SECOND + ListLease.UNFINISHED));
+    }
+
     @Test
     void aMoveHasItsTime() {
         standsAt(0);
