A pause that its own read brings refuses what waits behind a request, not the request

Change: next() says which it was. Whether the client is still there is looked for ahead of the first byte as before, through all that stands unread.

--- a/src/main/java/mastdrift/net/ClientSide.java
+++ b/src/main/java/mastdrift/net/ClientSide.java
@@ -559,7 +559,7 @@
             if (flooded && current != COUNTED) {
                 loop.execute(() -> {  // where all behind it has been read, it is as good as any
                     flooded = !Look.through(channel, PAUSED_LOOKS);
-                    beginNow(arrived);
+                    beginNow(arrived, flooded);
                 });
             } else {
                 boolean late = unheard > Ledger.LOOK_AFTER;
@@ -567,24 +567,24 @@
                     if (late) {
                         Look.at(channel);
                     }
-                    beginNow(arrived);
+                    beginNow(arrived, false);  // read ahead of a pause that its own read may have brought
                 });
             }
         }
 
-        private void beginNow(Arrived arrived) {
+        private void beginNow(Arrived arrived, boolean behindPause) {
             try {
                 if (channel.isActive()) {
-                    begin(arrived);
+                    begin(arrived, behindPause);
                 }
             } finally {
                 arrived.message.release();
             }
         }
 
-        private void begin(Arrived arrived) {
+        private void begin(Arrived arrived, boolean behindPause) {
             FullHttpRequest message = arrived.message;
-            if (message == COUNTED || flooded) {
+            if (message == COUNTED || behindPause) {
                 refused(0);
                 return;
             }
