--- a/src/main/java/mastdrift/lab/soak/SoakClient.java
+++ b/src/main/java/mastdrift/lab/soak/SoakClient.java
@@ -104,11 +104,13 @@
         }
         boolean kept = used;
         used = true;
+        byte[] bytes = request.getBytes(StandardCharsets.ISO_8859_1);
         long sentAt = record.now();
         End end;
         String odd = "";
         try {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write(bytes);
+            sentAt = record.now();  // this thread may have been late with it: what it waits for counts from the last byte
             Answer answer = read(sentAt, Math.min(millis + LATE_MILLIS, leavesAfter));
             end = answer.status == 200 ? End.SERVED : answer.status == 503 || answer.status == 429 ? End.REFUSED : End.FAILED;
             odd = odd(answer, id);
