Soak: a registry tells nothing on a call that its gateway has closed

Cause: the rig wrote lists on watches whose gateway had ended them, which the system takes, and held them for told. Ruled out: lateness (138 ms at most). Change: the end of a call is read.

--- a/src/main/java/mastdrift/lab/soak/SoakRegistry.java
+++ b/src/main/java/mastdrift/lab/soak/SoakRegistry.java
@@ -350,11 +350,23 @@
             }
             long from = request.contains("from=") ? Long.parseLong(request.replaceAll(".*from=(\\d+).*", "$1")) : 0;
             take(gateway, socket, from);
+            while (in.read() >= 0) {
+                continue;  // a gateway says nothing more on a call
+            }
+            givenUp(socket);
         } catch (IOException e) {
-            return;  // the gateway has given it up
+            givenUp(socket);
         }
     }
 
+    /** The gateway has closed it: what would be written there is told to nobody. */
+    private synchronized void givenUp(Socket socket) {
+        List.copyOf(watches).stream().filter(watch -> watch.socket == socket).forEach(watch -> {
+            watch.ended = true;
+            watches.remove(watch);
+        });
+    }
+
     private synchronized void take(String gateway, Socket socket, long from) {
         long now = record.now();
         if (downSince >= 0 && mode == RegistryMode.PUSHED) {
