--- a/src/main/java/mastdrift/lab/soak/SoakPlay.java
+++ b/src/main/java/mastdrift/lab/soak/SoakPlay.java
@@ -152,10 +152,10 @@
     private Report report() {
         int most = (int) Math.max(1, TIP_MULTIPLE * COLD_FROM * SoakServer.SLOTS * 1_000 / SoakServer.WORK_MILLIS * FALL / 1_000_000);
         SoakOracle.Figures figures = new SoakOracle.Figures(plan.registry() == RegistryMode.PUSHED, GRACE, WINDOW, FALL, most, record.now());
-        List<String> breaches = new SoakOracle(record, figures).judge().stream().map(breach -> breach.rule() + ": " + breach.what()).toList();
-        long latest = record.late.stream().mapToLong(SoakRecord.Late::micros).max().orElse(0);
+        List<String> breaches = new SoakOracle(record.copy(), figures).judge().stream().map(breach -> breach.rule() + ": " + breach.what()).toList();
+        long latest = record.copy().late.stream().mapToLong(SoakRecord.Late::micros).max().orElse(0);
         String voidBecause = latest > LATE_MOST && !breaches.isEmpty() ? "the rig was late by " + latest / 1_000 + " ms, what it found isn't judged: " + breaches.size() : "";
-        int ends = (int) record.listed.stream().filter(each -> !each.inService()).count();
+        int ends = (int) record.copy().listed.stream().filter(each -> !each.inService()).count();
         return new Report(plan, record.asked.size(), ends, latest / 1_000, voidBecause, breaches);
     }
 
--- a/src/main/java/mastdrift/lab/soak/SoakRecord.java
+++ b/src/main/java/mastdrift/lab/soak/SoakRecord.java
@@ -73,7 +73,7 @@
     /** Idle clients filled the descriptors of a gateway. */
     record Crowd(String gateway, long from, long until) { }
 
-    private final long began = System.nanoTime();
+    private final long began;
     final List<Listed> listed = synchronizedList();
     final List<Written> written = synchronizedList();
     final List<WatchLost> watchesLost = synchronizedList();
@@ -92,6 +92,39 @@
         return java.util.Collections.synchronizedList(new ArrayList<>());
     }
 
+    SoakRecord() {
+        this(System.nanoTime());
+    }
+
+    private SoakRecord(long began) {
+        this.began = began;
+    }
+
+    /** What has been recorded by now; processes go on with theirs. */
+    SoakRecord copy() {
+        SoakRecord copy = new SoakRecord(began);
+        copyTo(listed, copy.listed);
+        copyTo(written, copy.written);
+        copyTo(watchesLost, copy.watchesLost);
+        copyTo(callsFailed, copy.callsFailed);
+        copyTo(outages, copy.outages);
+        copyTo(moves, copy.moves);
+        copyTo(arrivals, copy.arrivals);
+        copyTo(asked, copy.asked);
+        copyTo(crossed, copy.crossed);
+        copyTo(runs, copy.runs);
+        copyTo(starts, copy.starts);
+        copyTo(late, copy.late);
+        copyTo(crowds, copy.crowds);
+        return copy;
+    }
+
+    private static <T> void copyTo(List<T> from, List<T> to) {
+        synchronized (from) {
+            to.addAll(from);
+        }
+    }
+
     /** Microseconds since the begin. */
     long now() {
         return (System.nanoTime() - began) / 1_000;
