Entries of a list that comes in pieces are looked into one by one, not with all ahead of them

Found by reading the change once more: DiscoveryCall.heedDrains copied the list from its begin for each entry of a list that was not whole yet, on the loop, so that its cost grew with the square of the hosts. DrainTest, BadListTest, WatchCrossingTest, EndedWatchTest green.

--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -70,6 +70,7 @@
     private ByteBuf text;
     private int looked;  // so many bytes of it have been looked through
     private int lineBegin;  // within the value that has begun
+    private int entryBegin;  // within it, where the last entry that was looked into ended
     private final ArrayDeque<Integer> entryEnds = new ArrayDeque<>();  // within it, of those that were not looked into yet
     private Standing standing = Standing.CURRENT;
     private long covered = Long.MIN_VALUE;  // what another call has told: up to that this one repeats it
@@ -228,6 +229,7 @@
     private void valueEnds() {
         int length = looked;
         entryEnds.clear();
+        entryBegin = 0;
         looked = 0;
         lineBegin = 0;
         take(length);
@@ -252,9 +254,10 @@
 
     /** Of a list that isn't whole yet, and may never be, drains and removals are certain as soon as their entry has come. */
     private void heedDrains() {
-        Long version = entryEnds.isEmpty() ? null : PartOfList.version(bytes(0, text.readableBytes()));
+        Long version = entryEnds.isEmpty() ? null : PartOfList.version(bytes(0, Math.min(text.readableBytes(), PartOfList.HEAD_MOST)));
         for (Integer end = entryEnds.poll(); end != null; end = entryEnds.poll()) {
-            Member leaving = version == null || version < intake.version() ? null : PartOfList.leaving(bytes(0, end));
+            Member leaving = version == null || version < intake.version() ? null : PartOfList.leaving(bytes(entryBegin, end));
+            entryBegin = end;
             if (leaving != null) {
                 intake.withdraw(new HostList.Reading(new HostList(version, false, List.of(leaving)), null, List.of(leaving), null));
             }
