--- a/review/standin/Radius.java
+++ b/review/standin/Radius.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -19,6 +20,8 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
 
 /** RADIUS accounting (RFC 2866) over UDP on loopback: servers of one group, and chargers. JDK only. */
 final class Radius {
@@ -30,9 +33,15 @@
     static final int PROXY_STATE = 33;
     static final int ACCT_STATUS_TYPE = 40;
     static final int ACCT_SESSION_ID = 44;
-    private static final int ACCESS_ACCEPT = 2;
-    private static final int HEADER_BYTES = 20;
-    private static final int MAX_BYTES = 4_096;
+    static final int ACCESS_REQUEST = 1;
+    static final int ACCESS_ACCEPT = 2;
+    static final int ACCESS_REJECT = 3;
+    static final int ACCESS_CHALLENGE = 11;
+    static final int USER_NAME = 1;
+    static final int STATE = 24;
+    static final int HEADER_BYTES = 20;
+    static final int MAX_BYTES = 4_096;
+    private static final int MESSAGE_AUTHENTICATOR = 80;
 
     private Radius() { }
 
@@ -53,11 +62,11 @@
                 .putShort((short) (HEADER_BYTES + attributes.length)).put(authenticator).put(attributes).array();
     }
 
-    private static byte[] attribute(int type, byte[] value) {
+    static byte[] attribute(int type, byte[] value) {
         return ByteBuffer.allocate(2 + value.length).put((byte) type).put((byte) (2 + value.length)).put(value).array();
     }
 
-    private static byte[] value(byte[] packet, int type) {
+    static byte[] value(byte[] packet, int type) {
         for (int at = HEADER_BYTES; at + 2 <= packet.length; at += packet[at + 1] & 0xFF) {
             if ((packet[at] & 0xFF) == type) {
                 return Arrays.copyOfRange(packet, at + 2, at + (packet[at + 1] & 0xFF));
@@ -66,9 +75,12 @@
         return null;
     }
 
-    /** A response to a request, with its Proxy-State attributes in their order. */
-    private static byte[] response(int code, byte[] request, byte[] secret) {
+    /** A response to a request, with these attributes and its Proxy-State attributes in their order. */
+    static byte[] response(int code, byte[] request, byte[] secret, byte[]... own) {
         ByteBuffer attributes = ByteBuffer.allocate(MAX_BYTES);
+        for (byte[] each : own) {
+            attributes.put(each);
+        }
         for (int at = HEADER_BYTES; at + 2 <= request.length; at += request[at + 1] & 0xFF) {
             if ((request[at] & 0xFF) == PROXY_STATE) {
                 attributes.put(request, at, request[at + 1] & 0xFF);
@@ -79,6 +91,34 @@
         return packet(code, request[1] & 0xFF, md5(unsigned, secret), proxyStates);
     }
 
+    /** Whether these bytes are a response to this request, signed with the secret. */
+    static boolean isResponse(byte[] answer, byte[] request, byte[] secret) {
+        byte[] unsigned = answer.clone();
+        System.arraycopy(request, 4, unsigned, 4, 16);
+        return answer[1] == request[1] && MessageDigest.isEqual(md5(unsigned, secret), Arrays.copyOfRange(answer, 4, HEADER_BYTES));
+    }
+
+    /** An Access-Request with a Message-Authenticator (RFC 3579, 3.2), and with a State unless that is null. */
+    static byte[] accessRequest(int identifier, String user, byte[] state, byte[] secret) {
+        byte[] name = user.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer all = ByteBuffer.allocate(MAX_BYTES).put(attribute(MESSAGE_AUTHENTICATOR, new byte[16]))
+                .put(attribute(NAS_IDENTIFIER, name)).put(attribute(USER_NAME, name));
+        if (state != null) {
+            all.put(attribute(STATE, state));
+        }
+        byte[] authenticator = new byte[16];
+        new SecureRandom().nextBytes(authenticator);
+        byte[] request = packet(ACCESS_REQUEST, identifier, authenticator, Arrays.copyOf(all.array(), all.position()));
+        try {
+            Mac mac = Mac.getInstance("HmacMD5");
+            mac.init(new SecretKeySpec(secret, "HmacMD5"));
+            System.arraycopy(mac.doFinal(request), 0, request, HEADER_BYTES + 2, 16);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
+        }
+        return request;
+    }
+
     /** An Accounting-Request with the status type Start. */
     static byte[] accountingStart(int identifier, String charger, String session, byte[] secret) {
         ByteBuffer all = ByteBuffer.allocate(MAX_BYTES).put(attribute(NAS_IDENTIFIER, charger.getBytes(StandardCharsets.UTF_8)))
--- a/review/standin/RadiusResend.java
+++ b/review/standin/RadiusResend.java
@@ -31,7 +31,7 @@
             }
             int httpPort = Kit.freePort();
             int radiusPort = Kit.freePort();
-            gateway = RadiusPlay.startGateway(folder, httpPort, radiusPort, "aim = \"600ms\"\ndeadline = \"1500ms\"\ndedup_window = \"1500ms\"\n", servers);
+            gateway = RadiusPlay.startGateway(folder, httpPort, radiusPort, "aim = \"600ms\"\ndeadline = \"1500ms\"\ndedup_window = \"1500ms\"\n", java.util.Map.of("x",1));
             if (Kit.awaitReady(gateway, httpPort) && Radius.start(log, radiusPort, "charger-0", "before", RadiusPlay.SECRET, new long[] {2_000}, 4_000) >= 0) {
                 if (Kit.trouble()) {
                     log.line("server r-1 is %d times slower from now on", SLOWER_TIMES);
--- a/review/standin/RadiusStop.java
+++ b/review/standin/RadiusStop.java
@@ -1,5 +1,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A charger's accounting start is at a server when its gateway gets SIGTERM; the server answers within the charger's time. */
@@ -22,7 +23,7 @@
             Radius.Server two = new Radius.Server("r-2", group, RadiusPlay.SECRET, 20);
             int httpPort = Kit.freePort();
             int radiusPort = Kit.freePort();
-            gateway = RadiusPlay.startGateway(folder, httpPort, radiusPort, "aim = \"1s\"\ndeadline = \"4s\"\ndedup_window = \"60s\"\n", one, two);
+            gateway = RadiusPlay.startGateway(folder, httpPort, radiusPort, "aim = \"1s\"\ndeadline = \"4s\"\ndedup_window = \"60s\"\n", Map.of("r-1", one.socket.getLocalPort(), "r-2", two.socket.getLocalPort()));
             if (Kit.awaitReady(gateway, httpPort) && Radius.start(log, radiusPort, "charger-0", "before", RadiusPlay.SECRET, new long[] {2_000}, 4_000) >= 0) {
                 one.workMillis = WORK_MILLIS;
                 two.workMillis = WORK_MILLIS;
