Take the handling of accepts out of HttpFront into a class of its own

Change: net.Acceptor holds that, moved and otherwise as it was; HttpFront keeps who is evicted. No behaviour changes.

Measured: ConnectionLimitsTest, SystemCallFailureTest, ShutdownRaceTest, LatenessTest, GatewayLifecycleTest, UnusedClassesNotLoadedTest, ArchitectureTest and ClientDisconnectTest: no failure.

--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -72,8 +72,6 @@
 
     private static final int MAX_BODY_BYTES = 64 << 10;
     private static final int LISTEN_BACKLOG = 1024;
-    // Connections accepted in one turn of the event loop: more would delay everything else on the loop.
-    private static final int MAX_ACCEPTS_PER_TURN = 16;
     // Requests that are queued on a connection behind the current one. Up to MAX_OVERFLOW_REQUESTS more are only
     // counted, and refused in their turn. Reading continues, since the close of a connection would otherwise go
     // unnoticed while its requests wait to be forwarded. When reading has to pause, the queued requests and all unread
@@ -104,9 +102,6 @@
     private static final int MAX_CLOSES_PER_SWEEP = 1_000;
     // Connections examined before the search for one to evict is given up.
     private static final int MAX_EVICTION_CANDIDATES = 4;
-    // Pause after an accept that failed for lack of a local resource: an immediate retry would fail again.
-    private static final long ACCEPT_RETRY_DELAY_MILLIS = 10;
-    private static final long ACCEPT_FAILURE_LOG_INTERVAL_MICROS = 10_000_000;
 
     private final EventLoop loop;
     private final RequestTracker ledger;
@@ -120,11 +115,7 @@
     private final PhaseBounds phaseBounds;
     private final ClientConnectionTable<Connection> connections;
     private final Set<String> openRequestIds = new HashSet<>();  // ids of requests that have no final answer yet
-    private volatile Channel serverChannel;  // set before the first connection is accepted
-    private boolean backlogEmptied = true;  // whether the last read of the listen backlog emptied it
-    private long lastAcceptTurn;  // turn of the last accept, or in which accepting resumed after a pause
-    private long earliestArrivalMicros;  // earliest time at which a connection that is accepted now may have arrived
-    private long acceptFailureLoggedAtMicros = -ACCEPT_FAILURE_LOG_INTERVAL_MICROS;
+    private final Acceptor acceptor;
     private boolean stopping;
     private boolean servingEnded;
     private long answerDeadlineMicros = Long.MAX_VALUE;
@@ -146,6 +137,7 @@
         this.router = router;
         this.log = log;
         this.maxConnections = maxConnections;
+        acceptor = new Acceptor(loop, ledger, () -> evictConnection(null), log);
         classes.forEach(type -> this.classes.put(type.name(), type));
         tenants.stream().map(Tenant::name).forEach(this.tenants::add);
     }
@@ -162,7 +154,7 @@
 
     /** The address it listens on, once it is bound. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) serverChannel.localAddress();
+        return (InetSocketAddress) acceptor.channel().localAddress();
     }
 
     /** Number of open client connections. Call it on the event loop. */
@@ -181,7 +173,7 @@
 
     /** Whether the listener is closed, so that nobody can connect any more. Call it on the event loop. */
     boolean isListenerClosed() {
-        return serverChannel != null && !serverChannel.isOpen();
+        return acceptor.isClosed();
     }
 
     /** Number of requests, on all connections, that are only counted and will be refused. Call it on the event loop. */
@@ -196,9 +188,9 @@
         ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(serverChannelFactory)
                 .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Acceptor.MAX_ACCEPTS_PER_TURN))
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .handler(new AcceptHandler())
+                .handler(acceptor)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -223,12 +215,14 @@
         answerDeadlineMicros = ledger.now() + Math.max(longestDeadlineMicros + STOP_ANSWER_MARGIN_MICROS,
                 STOP_ACCEPT_MILLIS * 1_000 + STOP_MIN_LAST_CONNECTION_MICROS);
         stopCallback = onStopped;
-        if (serverChannel == null) {  // stopped before it listened: it never will
+        if (acceptor.channel() == null) {  // stopped before it listened: it never will
+            acceptor.close();
             servingEnded = true;
             completeStopIfDone();
             return;
         }
-        loop.schedule(() -> closeListener(ledger.turnNumber()), STOP_ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> acceptor.closeOnceBacklogIsEmpty(() -> ledger.now() >= answerDeadlineMicros,
+                this::completeStopIfDone), STOP_ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
         // With short deadlines the process may be killed sooner than that.
         long answeredInMicros = answerDeadlineMicros - ledger.now();
         loop.schedule(this::endServing, Math.min(STOP_SERVE_MILLIS * 1_000, answeredInMicros), TimeUnit.MICROSECONDS);
@@ -241,22 +235,6 @@
         loop.schedule(this::logOpenConnections, answeredInMicros + STOP_LOG_DELAY_MICROS, TimeUnit.MICROSECONDS);
     }
 
-    /**
-     * Closes the listener once the listen backlog is empty. Clients in the backlog count as connected, and closing the
-     * listener would reset them. It is therefore closed only after the wait of a turn later than {@code sinceTurn} has
-     * found no new connection, or when all requests have been answered anyway.
-     */
-    private void closeListener(long sinceTurn) {
-        boolean backlogEmpty = ledger.turnNumber() > sinceTurn && lastAcceptTurn < ledger.turnNumber() && isBacklogEmpty()
-                && serverChannel.config().isAutoRead();
-        if (backlogEmpty || ledger.turnNumber() == 0 || ledger.now() >= answerDeadlineMicros) {
-            serverChannel.close();
-            completeStopIfDone();
-        } else {
-            loop.schedule(() -> closeListener(sinceTurn), 1, TimeUnit.MILLISECONDS);
-        }
-    }
-
     private void logOpenConnections() {
         if (connections.size() > 0) {
             StringJoiner phases = new StringJoiner(", ");
@@ -288,79 +266,6 @@
         connections.forEachOverdue(ledger.now(), MAX_CLOSES_PER_SWEEP, Connection::handleOverdue);
     }
 
-    /**
-     * Observes the accepts from the listen backlog. By the platform's rules a connection in the backlog has been taken,
-     * so its time is running. If a read does not empty the backlog, the connections found by the next read may have
-     * arrived before that read.
-     */
-    private final class AcceptHandler extends ChannelInboundHandlerAdapter {
-
-        private int acceptedInRead;
-
-        @Override
-        public void handlerAdded(ChannelHandlerContext context) {
-            serverChannel = context.channel();
-            if (stopping) {
-                serverChannel.close();
-            }
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object child) {
-            if (acceptedInRead++ == 0 && isBacklogEmpty()) {
-                earliestArrivalMicros = ledger.earliestArrivalAt();
-            }
-            lastAcceptTurn = ledger.turnNumber();
-            context.fireChannelRead(child);
-        }
-
-        @Override
-        public void channelReadComplete(ChannelHandlerContext context) {
-            backlogEmptied = acceptedInRead < MAX_ACCEPTS_PER_TURN && context.channel().config().isAutoRead();
-            acceptedInRead = 0;
-            context.fireChannelReadComplete();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            handleAcceptFailure(cause);
-        }
-    }
-
-    /**
-     * Handles a failed accept. A connection that its client aborted while it waited (ECONNABORTED) affects nobody else;
-     * if descriptors or buffers are exhausted, an idle connection is evicted, and accepting is retried soon. Netty by
-     * itself would not accept again for a second.
-     */
-    private void handleAcceptFailure(Throwable cause) {
-        if (ledger.now() - acceptFailureLoggedAtMicros >= ACCEPT_FAILURE_LOG_INTERVAL_MICROS) {
-            acceptFailureLoggedAtMicros = ledger.now();
-            log.accept("failed to accept a connection: " + cause);
-        }
-        if (serverChannel.config().isAutoRead()) {
-            evictConnection(null);
-            serverChannel.config().setAutoRead(false);
-            loop.schedule(this::resumeAccepting, ACCEPT_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /**
-     * Whether the listen backlog was empty as of the last wait, not counting connections that have arrived since. That
-     * is so if a read has emptied it, or if, after a read that accepted as many as one turn may, the wait of the next
-     * turn found none.
-     */
-    private boolean isBacklogEmpty() {
-        return backlogEmptied || ledger.turnNumber() > lastAcceptTurn + 1;
-    }
-
-    private void resumeAccepting() {
-        if (!serverChannel.config().isAutoRead()) {
-            backlogEmptied = false;  // the connections in the backlog may have arrived during the pause
-            lastAcceptTurn = ledger.turnNumber();
-            serverChannel.config().setAutoRead(true);
-        }
-    }
-
     /**
      * Closes a connection that is owed no response. Its unread input is read first, since it may contain a request.
      * Returns false if no connection could be closed.
@@ -400,8 +305,7 @@
      * reset.
      */
     private void completeStopIfDone() {
-        if (servingEnded && stopCallback != null && connections.size() == 0
-                && (serverChannel == null || !serverChannel.isOpen())) {
+        if (servingEnded && stopCallback != null && connections.size() == 0 && acceptor.isClosedForGood()) {
             stopCallback.run();
         }
     }
@@ -459,10 +363,10 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             openedTurn = ledger.turnNumber();
-            earliestOpenMicros = earliestArrivalMicros;
+            earliestOpenMicros = acceptor.earliestArrivalMicros();
             entry = connections.add(ledger.now(), this, addressPrefix(channel.remoteAddress()));
             if (connections.size() > maxConnections && !evictConnection(entry)) {
-                serverChannel.config().setAutoRead(false);
+                acceptor.pause();
             }
         }
 
@@ -521,7 +425,7 @@
             }
             openRequestIds.remove(requestId);
             if (connections.size() <= maxConnections) {
-                resumeAccepting();
+                acceptor.resume();
             }
             if (pipelined != null) {
                 releasePipelined();
