Log when clients' connections are at their limit and for how long accepting was paused

Ordinary clients had no answer for 2 s, and the gateway's log said nothing between its start and its end: a pause of accepts, a late event loop, slow hosts and a lost wake-up of the listener look the same in it.

Change: HttpFront says, once in 10 s, that the limit is reached, with the phases of the connections that are held; Acceptor says for how long a pause lasted, from 50 ms on.

--- a/src/main/java/mastdrift/net/Acceptor.java
+++ b/src/main/java/mastdrift/net/Acceptor.java
@@ -22,6 +22,8 @@
     // Pause after an accept that failed for lack of a local resource: an immediate retry would fail again.
     private static final long RETRY_DELAY_MILLIS = 10;
     private static final long LOG_INTERVAL_MICROS = 10_000_000;
+    // A pause of this length may cost a client its answer.
+    private static final long MIN_LOGGED_PAUSE_MICROS = 50_000;
 
     private final EventLoop loop;
     private final RequestTracker ledger;
@@ -34,6 +36,8 @@
     private long lastAcceptTurn;  // turn of the last accept, or in which accepting resumed after a pause
     private long earliestArrivalMicros;
     private long failureLoggedAtMicros = -LOG_INTERVAL_MICROS;
+    private long pausedAtMicros;
+    private long pauseLoggedAtMicros = -LOG_INTERVAL_MICROS;
 
     /** {@code resourceExhausted} is called when an accept fails, perhaps for lack of a file descriptor. */
     Acceptor(EventLoop loop, RequestTracker ledger, Runnable resourceExhausted, Consumer<String> log) {
@@ -107,7 +111,10 @@
 
     /** Accepts nobody until {@link #resume} is called. */
     void pause() {
-        serverChannel.config().setAutoRead(false);
+        if (!isPaused()) {
+            pausedAtMicros = ledger.now();
+            serverChannel.config().setAutoRead(false);
+        }
     }
 
     /** Ends a pause, if there is one. */
@@ -116,6 +123,15 @@
             backlogEmptied = false;  // the connections in the backlog may have arrived during the pause
             lastAcceptTurn = ledger.turnNumber();
             serverChannel.config().setAutoRead(true);
+            logPause();
+        }
+    }
+
+    private void logPause() {
+        long now = ledger.now();
+        if (now - pausedAtMicros >= MIN_LOGGED_PAUSE_MICROS && now - pauseLoggedAtMicros >= LOG_INTERVAL_MICROS) {
+            pauseLoggedAtMicros = now;
+            log.accept("accepting connections was paused for " + (now - pausedAtMicros) / 1_000 + " ms");
         }
     }
 
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -102,6 +102,7 @@
     private static final int MAX_CLOSES_PER_SWEEP = 1_000;
     // Connections examined before the search for one to evict is given up.
     private static final int MAX_EVICTION_CANDIDATES = 4;
+    private static final long LIMIT_LOG_INTERVAL_MICROS = 10_000_000;
 
     private final EventLoop loop;
     private final RequestTracker ledger;
@@ -119,6 +120,7 @@
     private boolean stopping;
     private boolean servingEnded;
     private long answerDeadlineMicros = Long.MAX_VALUE;
+    private long limitLoggedAtMicros = -LIMIT_LOG_INTERVAL_MICROS;
     private Runnable stopCallback;
 
     /** Holds about {@code maxConnections} connections, with the default {@link PhaseBounds}. */
@@ -237,17 +239,28 @@
 
     private void logOpenConnections() {
         if (connections.size() > 0) {
-            StringJoiner phases = new StringJoiner(", ");
-            for (ConnectionPhase phase : ConnectionPhase.values()) {
-                if (connections.size(phase) > 0) {
-                    phases.add(connections.size(phase) + " " + phase);
-                }
-            }
-            log.accept("shutdown is waiting for connections: " + phases + "; unanswered requests: "
+            log.accept("shutdown is waiting for connections: " + phaseCounts() + "; unanswered requests: "
                     + openRequestIds.stream().limit(MAX_LOGGED_IDS).toList());
         }
     }
 
+    private String phaseCounts() {
+        StringJoiner phases = new StringJoiner(", ");
+        for (ConnectionPhase phase : ConnectionPhase.values()) {
+            if (connections.size(phase) > 0) {
+                phases.add(connections.size(phase) + " " + phase);
+            }
+        }
+        return phases.toString();
+    }
+
+    private void logLimitReached() {
+        if (ledger.now() - limitLoggedAtMicros >= LIMIT_LOG_INTERVAL_MICROS) {
+            limitLoggedAtMicros = ledger.now();
+            log.accept("connections of clients are at their limit: " + phaseCounts() + "; accepting is paused");
+        }
+    }
+
     /**
      * From now on each connection closes after the last response that it is owed, and connections that are owed none
      * close now. A connection with a partial request stays open, since the rest of it is on its way.
@@ -367,6 +380,7 @@
             entry = connections.add(ledger.now(), this, addressPrefix(channel.remoteAddress()));
             if (connections.size() > maxConnections && !evictConnection(entry)) {
                 acceptor.pause();
+                logLimitReached();
             }
         }
 
