A read that finds no input doesn't make a request's part of it

Cause: a read of a connection that finds nothing ends in channelReadComplete like any other, and HttpFront took each one that completed no request for a part of a request. Such reads come whenever unread input is looked for ahead of a close: at the bound of a connection that rests (10 s), as one to evict, and when serving ends in a shutdown. The connection then was in phase PART: not closed, not evictable, with 2 s of its own.

Change: input that is no part of a request changes no phase. In a shutdown, resting connections go on to stay open beyond the end of serving, now on purpose: until 3.5 s, or all has to be answered. Their clients' next request is answered with Connection: close, where a close at 1.5 s would cross the requests of all that are still active.

--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -87,9 +87,11 @@
     // During a shutdown, new connections keep arriving for a while until it has been noticed that this gateway stops.
     private static final long STOP_ACCEPT_MILLIS = 500;
     // During a shutdown, clients are served on their existing connections for this long, since other gateways may be
-    // unavailable as well. All requests are answered at the latest STOP_ANSWER_MARGIN_MICROS after the longest
-    // deadline, before the process may be killed.
+    // unavailable as well. From then on a connection closes with its next response, and those that rest close later:
+    // by then few clients are left whose next request could cross the close. All requests are answered at the latest
+    // STOP_ANSWER_MARGIN_MICROS after the longest deadline, before the process may be killed.
     private static final long STOP_SERVE_MILLIS = 1500;
+    private static final long STOP_REST_MILLIS = 3500;
     private static final long STOP_ANSWER_MARGIN_MICROS = 400_000;
     // Minimum time for clients that connect just before the listener closes, however short the deadlines are.
     private static final long STOP_MIN_LAST_CONNECTION_MICROS = 50_000;
@@ -173,6 +175,11 @@
         return withHttpHandlers ? connections.size() - withoutHandlers : withoutHandlers;
     }
 
+    /** Number of open client connections in a phase. Call it on the event loop. */
+    int connectionCount(ConnectionPhase phase) {
+        return connections.size(phase);
+    }
+
     /** Whether the listener is closed, so that nobody can connect any more. Call it on the event loop. */
     boolean isListenerClosed() {
         return acceptor.isClosed();
@@ -228,6 +235,8 @@
         // With short deadlines the process may be killed sooner than that.
         long answeredInMicros = answerDeadlineMicros - ledger.now();
         loop.schedule(this::endServing, Math.min(STOP_SERVE_MILLIS * 1_000, answeredInMicros), TimeUnit.MICROSECONDS);
+        loop.schedule(this::closeRestingConnections, Math.min(STOP_REST_MILLIS * 1_000, answeredInMicros),
+                TimeUnit.MICROSECONDS);
         loop.schedule(() -> {
             connections.forEach(ConnectionPhase.BUSY, Connection::failOpenRequest);
             // the time to complete partial requests is over
@@ -262,15 +271,20 @@
     }
 
     /**
-     * From now on each connection closes after the last response that it is owed, and connections that are owed none
-     * close now. A connection with a partial request stays open, since the rest of it is on its way.
+     * From now on each connection closes after the last response that it is owed, and connections that never sent a
+     * request close now. One that rests stays open for a while, and one with a partial request, since the rest of it is
+     * on its way.
      */
     void endServing() {
         servingEnded = true;
-        List.of(ConnectionPhase.SILENT, ConnectionPhase.IDLE, ConnectionPhase.DORMANT).forEach(phase -> closeUnlessRequested(phase, false));
+        closeUnlessRequested(ConnectionPhase.SILENT, false);
         completeStopIfDone();
     }
 
+    private void closeRestingConnections() {
+        List.of(ConnectionPhase.IDLE, ConnectionPhase.DORMANT).forEach(phase -> closeUnlessRequested(phase, false));
+    }
+
     private void closeUnlessRequested(ConnectionPhase phase, boolean includePartial) {
         connections.forEach(phase, connection -> connection.closeUnlessRequested(phase, includePartial));
     }
@@ -508,10 +522,10 @@
             return next;
         }
 
-        /** Input that did not complete a request is part of one. */
+        /** Input that did not complete a request is part of one. A read may also have found no input at all. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            if (!requestCompleted && currentRequest == null && !lastResponseWritten) {
+            if (!requestCompleted && currentRequest == null && !lastResponseWritten && hasPartialRequest()) {
                 // If the bound for silence is no longer, it stays in force: a client that trickles must not gain time
                 // by its first byte.
                 boolean keepsSilentBound = entry.phase() == ConnectionPhase.SILENT && phaseBounds.silentMicros() <= phaseBounds.requestMicros();
--- a/src/test/java/mastdrift/net/ConnectionLimitsTest.java
+++ b/src/test/java/mastdrift/net/ConnectionLimitsTest.java
@@ -39,6 +39,10 @@
 
     private static final long SILENT_BOUND_MICROS = 5_000_000;
     private static final PhaseBounds BOUNDS = new PhaseBounds(SILENT_BOUND_MICROS, 400_000, 400_000, 1_400_000);
+    private static final long IDLE_BOUND_MICROS = 1_400_000;
+    // Longer than a test waits: a connection that counts as one with a partial request isn't closed.
+    private static final PhaseBounds LONG_REQUEST_BOUNDS =
+            new PhaseBounds(SILENT_BOUND_MICROS, 600_000_000, 400_000, IDLE_BOUND_MICROS);
     private static final int MAX_CONNECTIONS = 12;
     private static final String LARGE_BODY = "x".repeat(60_000);
 
@@ -56,6 +60,7 @@
     private Server discovery;
     private Server host;
     private HttpFront clients;
+    private HttpFront longRequestClients;
 
     @BeforeEach
     void start() throws Exception {
@@ -63,13 +68,19 @@
         host = new Server(message -> write(message.socket(), answer("200 OK", LARGE_BODY)));
         GatewayConfig config = GatewayConfig.read(environment(folder, discovery, list(1, true, entry("s1", host.address(), "a", "in_service")),
                 SETTINGS));
-        clients = timed.loop().submit(() -> {
+        clients = startFront(config, BOUNDS);
+        longRequestClients = startFront(config, LONG_REQUEST_BOUNDS);
+    }
+
+    private HttpFront startFront(GatewayConfig config, PhaseBounds bounds) throws Exception {
+        HttpFront front = timed.loop().submit(() -> {
             Gateway gateway = new Gateway(config, timed, new Balance(), 100, 100, false,
                     new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
             return new HttpFront(timed.loop(), gateway.ledger(), gateway, config.settings().classes(),
-                    config.settings().tenants(), MAX_CONNECTIONS, BOUNDS, line -> { });
+                    config.settings().tenants(), MAX_CONNECTIONS, bounds, line -> { });
         }).get();
-        clients.listen(new InetSocketAddress("127.0.0.1", 0)).sync();
+        front.listen(new InetSocketAddress("127.0.0.1", 0)).sync();
+        return front;
     }
 
     @AfterEach
@@ -83,10 +94,14 @@
     }
 
     private Socket connect(String from) throws IOException {
+        return connect(from, clients);
+    }
+
+    private Socket connect(String from, HttpFront front) throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(4_096);
         socket.bind(new InetSocketAddress(InetAddress.getByName(from), 0));
-        socket.connect(clients.address());
+        socket.connect(front.address());
         socket.setSoTimeout(Loopback.WAIT_SECONDS * 1000);
         sockets.add(socket);
         return socket;
@@ -189,6 +204,17 @@
         return timed.loop().submit(() -> clients.connectionCount(withHttpHandlers)).get();
     }
 
+    /**
+     * Guards against a connection that rests being taken for one with a partial request, for which the time is another
+     * and which isn't evicted, because its unread input was looked for and none was there.
+     */
+    @Test
+    void dormantConnectionIsClosedAtItsBoundThoughARequestMayTakeLonger() throws Exception {
+        Socket client = connect("127.0.0.1", longRequestClients);
+        requestOnce(client, "only");
+        assertEquals(-1, client.getInputStream().read());
+    }
+
     /**
      * Many connections from one address that send nothing: they are evicted in favour of each other, and earlier
      * connections stay open.
--- a/src/test/java/mastdrift/net/ShutdownRaceTest.java
+++ b/src/test/java/mastdrift/net/ShutdownRaceTest.java
@@ -183,6 +183,31 @@
         }
     }
 
+    /**
+     * A client that rests when serving ends is served once more, and told that its connection closes: a close at that
+     * moment could cross its request. One that rests on is closed 2 s later, though a deadline may be longer.
+     */
+    @Test
+    void restingConnectionsOutliveTheEndOfServing() throws Exception {
+        CompletableFuture<Long> stoppedAtNanos = new CompletableFuture<>();
+        try (Server discovery = discovery(); Server host = host("ok"); Node node = node(discovery, host, SETTINGS)) {
+            Socket client = node.connect();
+            Socket idle = node.connect();
+            assertEquals(200, requestReady(client).status());
+            assertEquals(200, requestReady(idle).status());
+            long startNanos = System.nanoTime();
+            node.loop.submit(() -> node.clients.stop(60_000_000, () -> stoppedAtNanos.complete(System.nanoTime()))).sync();
+            Thread.sleep(1_700);
+            write(client, read(20_000));
+            Message answer = Loopback.read(client);
+            assertEquals("ok", answer.text());
+            assertEquals("close", answer.header("Connection"));
+            assertNull(Loopback.read(idle), "closed, not reset");
+            long millis = (stoppedAtNanos.get(Loopback.WAIT_SECONDS, TimeUnit.SECONDS) - startNanos) / 1_000_000;
+            assertTrue(millis >= 3_450, "stopped after " + millis + " ms");
+        }
+    }
+
     /**
      * With deadlines of 0.05 s all requests could be answered before the listener closes: the stop, after which the
      * process ends, may complete only after that.
