Answer clients that connect while nobody can make room, rather than pause accepting

Cause: at the limit of connections HttpFront stopped accepting (setAutoRead(false)) unless a connection could be evicted, until somebody left. Only silent and resting connections could be: not one with a part of a request (PART, up to 2 s), a response that isn't read (UNREAD, up to 10 s) or a request in progress (BUSY, up to its deadline). What waits in the listen backlog has been taken, and its time runs.

Change: limits.ConnectionLimit allows 16 connections beyond the limit. One that is accepted while nobody can make room is SURPLUS: its request is served if there is room by then, else refused at once, with Connection: close. So accepting pauses only where all 16 are being refused in that very turn, and resumes with the first that closes. A request whose rest has been missing for 0.5 s (STALLED) and a response that its client hasn't read within its request's time (ABANDONED) make room, ahead of others, since nothing is owed there; those in progress never do. As a last resort, with the reserve used up, the oldest connection that has completed no request goes. All of it is per address as before: a flood evicts its own.

Why this works: the places beyond the limit are held only by requests that are being refused, which takes a turn, and by connections that are owed nothing, so there is always one to accept into, whatever phase the others are in.

A failed accept (EMFILE) evicts by the same rules.

--- a/src/main/java/mastdrift/engine/RequestTracker.java
+++ b/src/main/java/mastdrift/engine/RequestTracker.java
@@ -197,6 +197,14 @@
         return exchange.ended ? null : exchange;
     }
 
+    /** Refuses a request for which its front has no room, and takes over the message, which it releases. */
+    public void refuse(Pool pool, Responder responder, RequestMessage message, RequestAttributes attributes) {
+        if (requestListener != null) {
+            requestListener.requestReceived(message, attributes);
+        }
+        refuseUnaccepted(pool, responder, message, attributes);
+    }
+
     private void refuseUnaccepted(Pool pool, Responder responder, RequestMessage message,
             RequestAttributes attributes) {
         reportEndAndRelease(message, RequestListener.Result.REFUSED, Why.GATEWAY);
--- a/src/main/java/mastdrift/limits/ClientConnectionTable.java
+++ b/src/main/java/mastdrift/limits/ClientConnectionTable.java
@@ -13,9 +13,10 @@
  *
  * <p>Each phase has one time bound, so the connections in a phase are kept in the order in which they entered it, and
  * overdue ones are at the head: a check costs what is overdue, not what is open. The connection to close for a new one
- * is taken from the address with the most evictable connections: first those that never sent a request, then the one
- * unused for the longest. So a flood from one address evicts its own connections, and a connection with a request in
- * progress, with a partial request, or with an unread response is never evicted.
+ * is taken from the address with the most evictable connections: first those whose clients have stopped in the middle
+ * of a request or of reading a response, then those that never sent a request, then the one unused for the longest. So
+ * a flood from one address evicts its own connections. Never evicted are a connection with a request in progress, with
+ * a response that is still owed, or, but as a last resort, with a partial request whose rest may be on its way.
  *
  * <p>A connection costs one {@link Entry} (56 bytes with the usual object layout) and nothing else here. Not
  * thread-safe; times are in microseconds of one clock that doesn't go backwards.
@@ -33,7 +34,7 @@
         private long phaseEnteredAt;
         private Entry<C> previousInPhase;  // in the order of its phase
         private Entry<C> nextInPhase;
-        // in the order of its address's evictable connections of the same state: silent, or used before
+        // in the order of its address's evictable connections of the same rank
         private Entry<C> older;
         private Entry<C> newer;
 
@@ -48,15 +49,50 @@
         }
     }
 
+    /** The evictable connections of one address and rank, in the order in which they became so. */
+    private static final class EvictableConnections<C> {
+
+        private Entry<C> oldest;
+        private Entry<C> newest;
+
+        void append(Entry<C> entry) {
+            entry.older = newest;
+            entry.newer = null;
+            if (newest == null) {
+                oldest = entry;
+            } else {
+                newest.newer = entry;
+            }
+            newest = entry;
+        }
+
+        void remove(Entry<C> entry) {
+            if (entry.older == null) {
+                oldest = entry.newer;
+            } else {
+                entry.older.newer = entry.newer;
+            }
+            if (entry.newer == null) {
+                newest = entry.older;
+            } else {
+                entry.newer.older = entry.older;
+            }
+        }
+
+        /** The oldest other than {@code excluded}; null if there is none. */
+        Entry<C> oldestExcept(Entry<C> excluded) {
+            return oldest != null && oldest == excluded ? oldest.newer : oldest;
+        }
+    }
+
     /** A client address and its evictable connections. */
     private static final class ClientAddress<C> {
         private final long id;
         private int connectionCount;
         private int evictableCount;
-        private Entry<C> oldestSilent;
-        private Entry<C> newestSilent;
-        private Entry<C> oldestUsed;
-        private Entry<C> newestUsed;
+        private final EvictableConnections<C> silent = new EvictableConnections<>();
+        private final EvictableConnections<C> idle = new EvictableConnections<>();
+        private final EvictableConnections<C> stalled = new EvictableConnections<>();
         // among addresses with the same number of evictable connections
         private ClientAddress<C> previousWithSameCount;
         private ClientAddress<C> nextWithSameCount;
@@ -64,11 +100,32 @@
         ClientAddress(long id) {
             this.id = id;
         }
+
+        EvictableConnections<C> evictable(EvictionRank rank) {
+            return switch (rank) {
+                case SILENT -> silent;
+                case IDLE -> idle;
+                case STALLED -> stalled;
+            };
+        }
+
+        /** The first to be closed, other than {@code excluded}; null if there is none. */
+        Entry<C> firstEvictable(Entry<C> excluded) {
+            for (EvictionRank rank : RANKS) {
+                Entry<C> entry = evictable(rank).oldestExcept(excluded);
+                if (entry != null) {
+                    return entry;
+                }
+            }
+            return null;
+        }
     }
 
+    private static final EvictionRank[] RANKS = EvictionRank.values();
     private static final ConnectionPhase[] PHASES = ConnectionPhase.values();
 
     private final PhaseBounds bounds;
+    private final long responseOwedMicros;
     private final List<Entry<C>> phaseHeads = new ArrayList<>();
     private final List<Entry<C>> phaseTails = new ArrayList<>();
     private final int[] phaseSizes = new int[PHASES.length];
@@ -78,9 +135,13 @@
     private int maxEvictableCount;
     private int size;
 
-    /** A table with the given bounds on the time in each phase. */
-    public ClientConnectionTable(PhaseBounds bounds) {
+    /**
+     * A table with the given bounds on the time in each phase, for requests whose responses are owed for at most {@code
+     * responseOwedMicros} after they have been written.
+     */
+    public ClientConnectionTable(PhaseBounds bounds, long responseOwedMicros) {
         this.bounds = bounds;
+        this.responseOwedMicros = responseOwedMicros;
         for (int i = 0; i < PHASES.length; i++) {
             phaseHeads.add(null);
             phaseTails.add(null);
@@ -121,6 +182,28 @@
         }
     }
 
+    /** Records input that didn't complete a request. */
+    public void receivedPart(long now, Entry<C> entry) {
+        if (entry.phase != null) {
+            moveTo(now, entry, bounds.afterPartialInput(entry.phase));
+        }
+    }
+
+    /**
+     * Moves a connection that has reached the bound of its phase to the phase that follows, whose time counts from that
+     * bound. Returns false if none follows: the connection is to be closed.
+     */
+    public boolean advance(Entry<C> entry) {
+        ConnectionPhase next = bounds.successor(entry.phase, responseOwedMicros);
+        if (next == null) {
+            return false;
+        }
+        long boundReachedAt = entry.phaseEnteredAt + bounds.boundMicros(entry.phase, responseOwedMicros);
+        leavePhase(entry);
+        enterPhase(boundReachedAt, entry, next);
+        return true;
+    }
+
     /** Removes a connection that was closed. A second call has no effect. */
     public void remove(Entry<C> entry) {
         if (entry.phase == null) {
@@ -140,7 +223,7 @@
      */
     public void forEachOverdue(long now, int limit, BiConsumer<C, ConnectionPhase> action) {
         for (ConnectionPhase phase : PHASES) {
-            long boundMicros = bounds.boundMicros(phase);
+            long boundMicros = bounds.boundMicros(phase, responseOwedMicros);
             Entry<C> entry = phaseHeads.get(phase.ordinal());
             for (int count = 0; entry != null && count < limit && now - entry.phaseEnteredAt > boundMicros; count++) {
                 // read first: the action may remove this entry, but touches no other
@@ -172,17 +255,22 @@
         if (maxEvictableCount == 0 || address == null) {
             return null;
         }
-        Entry<C> entry = oldestEvictable(address, newcomer);
+        Entry<C> entry = address.firstEvictable(newcomer);
         // every address with as many connections has just one, and the first one's is the newcomer: take another's
         if (entry == null) {
-            entry = address.nextWithSameCount == null ? null : oldestEvictable(address.nextWithSameCount, newcomer);
+            entry = address.nextWithSameCount == null ? null : address.nextWithSameCount.firstEvictable(newcomer);
         }
         return entry == null ? null : entry.connection;
     }
 
-    private static <C> Entry<C> oldestEvictable(ClientAddress<C> address, Entry<C> newcomer) {
-        Entry<C> silent = address.oldestSilent == newcomer && newcomer != null ? newcomer.newer : address.oldestSilent;
-        return silent != null ? silent : address.oldestUsed;
+    /**
+     * The connection to close where there is no evictable one and nobody else could be accepted: one that has completed
+     * no request, opened beyond the limit or else with a partial request, for the longest time; null if there is none.
+     */
+    public C lastResort() {
+        Entry<C> surplus = phaseHeads.get(ConnectionPhase.SURPLUS.ordinal());
+        Entry<C> entry = surplus != null ? surplus : phaseHeads.get(ConnectionPhase.PART.ordinal());
+        return entry == null ? null : entry.connection;
     }
 
     // ---- phase lists
@@ -226,43 +314,13 @@
     // ---- evictable connections by address
 
     private void addEvictable(Entry<C> entry) {
-        ClientAddress<C> address = entry.address;
-        boolean silent = entry.phase == ConnectionPhase.SILENT;
-        entry.older = silent ? address.newestSilent : address.newestUsed;
-        entry.newer = null;
-        if (entry.older != null) {
-            entry.older.newer = entry;
-        } else if (silent) {
-            address.oldestSilent = entry;
-        } else {
-            address.oldestUsed = entry;
-        }
-        if (silent) {
-            address.newestSilent = entry;
-        } else {
-            address.newestUsed = entry;
-        }
-        changeEvictableCount(address, 1);
+        entry.address.evictable(entry.phase.evictionRank()).append(entry);
+        changeEvictableCount(entry.address, 1);
     }
 
     private void removeEvictable(Entry<C> entry) {
-        ClientAddress<C> address = entry.address;
-        boolean silent = entry.phase == ConnectionPhase.SILENT;
-        if (entry.older != null) {
-            entry.older.newer = entry.newer;
-        } else if (silent) {
-            address.oldestSilent = entry.newer;
-        } else {
-            address.oldestUsed = entry.newer;
-        }
-        if (entry.newer != null) {
-            entry.newer.older = entry.older;
-        } else if (silent) {
-            address.newestSilent = entry.older;
-        } else {
-            address.newestUsed = entry.older;
-        }
-        changeEvictableCount(address, -1);
+        entry.address.evictable(entry.phase.evictionRank()).remove(entry);
+        changeEvictableCount(entry.address, -1);
     }
 
     private void changeEvictableCount(ClientAddress<C> address, int change) {
--- a/src/main/java/mastdrift/limits/PhaseBounds.java
+++ b/src/main/java/mastdrift/limits/PhaseBounds.java
@@ -15,6 +15,11 @@
      * pay for setting it up again.
      */
     public static final long IDLE_BEFORE_DORMANT_MICROS = 1_000_000;
+    /**
+     * How long the rest of a request may be missing before its connection may be closed to make room. Longer than a
+     * retransmission in the network takes.
+     */
+    public static final long PART_BEFORE_STALLED_MICROS = 500_000;
     /** The bounds of the platform's gateway, and the default where a configuration file gives none. */
     public static final PhaseBounds DEFAULT = new PhaseBounds(2_000_000, 2_000_000, 10_000_000, 10_000_000);
 
@@ -27,15 +32,40 @@
         }
     }
 
-    /** The bound of a phase in microseconds. */
-    long boundMicros(ConnectionPhase phase) {
+    /**
+     * The bound of a phase in microseconds, if a response is owed for {@code responseOwedMicros} at most after it has
+     * been written.
+     */
+    long boundMicros(ConnectionPhase phase, long responseOwedMicros) {
         return switch (phase) {
-            case SILENT -> silentMicros;
-            case PART -> requestMicros;
+            case SILENT, SURPLUS -> silentMicros;
+            case PART -> Math.min(requestMicros, PART_BEFORE_STALLED_MICROS);
+            case STALLED -> requestMicros - PART_BEFORE_STALLED_MICROS;
             case BUSY -> Long.MAX_VALUE;
-            case UNREAD -> unreadMicros;
+            case UNREAD -> Math.min(unreadMicros, responseOwedMicros);
+            case ABANDONED -> unreadMicros - responseOwedMicros;
             case IDLE -> IDLE_BEFORE_DORMANT_MICROS;
             case DORMANT -> idleMicros - IDLE_BEFORE_DORMANT_MICROS;
         };
     }
+
+    /** The phase that a connection enters at the bound of {@code phase}; null if it is to be closed. */
+    ConnectionPhase successor(ConnectionPhase phase, long responseOwedMicros) {
+        return switch (phase) {
+            case PART -> requestMicros > PART_BEFORE_STALLED_MICROS ? ConnectionPhase.STALLED : null;
+            case UNREAD -> unreadMicros > responseOwedMicros ? ConnectionPhase.ABANDONED : null;
+            case IDLE -> ConnectionPhase.DORMANT;
+            default -> null;
+        };
+    }
+
+    /**
+     * The phase of a connection that has received a part of a request. A first request stays bounded like silence
+     * where that bound is no longer, and a stalled one stays stalled: bytes that trickle in must not gain time.
+     */
+    ConnectionPhase afterPartialInput(ConnectionPhase phase) {
+        boolean hadNoRequest = phase == ConnectionPhase.SILENT || phase == ConnectionPhase.SURPLUS;
+        boolean keepsPhase = phase == ConnectionPhase.STALLED || hadNoRequest && silentMicros <= requestMicros;
+        return keepsPhase ? phase : ConnectionPhase.PART;
+    }
 }
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -54,6 +54,7 @@
 import mastdrift.engine.RequestTracker;
 import mastdrift.engine.Pool;
 import mastdrift.limits.ClientConnectionTable;
+import mastdrift.limits.ConnectionLimit;
 import mastdrift.limits.ConnectionPhase;
 import mastdrift.limits.PhaseBounds;
 
@@ -104,18 +105,19 @@
     private static final int MAX_CLOSES_PER_SWEEP = 1_000;
     // Connections examined before the search for one to evict is given up.
     private static final int MAX_EVICTION_CANDIDATES = 4;
+    // A response is worth nothing to its client this long after the request's deadline.
+    private static final long RESPONSE_LATENESS_MICROS = 550_000;
     private static final long LIMIT_LOG_INTERVAL_MICROS = 10_000_000;
 
     private final EventLoop loop;
     private final RequestTracker ledger;
     private final Router router;
     private final Consumer<String> log;
-    private final int maxConnections;
+    private final ConnectionLimit connectionLimit;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private ChannelFactory<? extends ServerChannel> serverChannelFactory = NioServerSocketChannel::new;
     private Function<InetAddress, String> clientZoneByAddress;  // zone of a client address; null if zones are not used
-    private final PhaseBounds phaseBounds;
     private final ClientConnectionTable<Connection> connections;
     private final Set<String> openRequestIds = new HashSet<>();  // ids of requests that have no final answer yet
     private final Acceptor acceptor;
@@ -134,15 +136,14 @@
     /** Holds about {@code maxConnections} connections, with the given time bounds. */
     public HttpFront(EventLoop loop, RequestTracker ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
             int maxConnections, PhaseBounds phaseBounds, Consumer<String> log) {
-        this.phaseBounds = phaseBounds;
-        connections = new ClientConnectionTable<>(phaseBounds);
+        classes.forEach(type -> this.classes.put(type.name(), type));
+        connections = new ClientConnectionTable<>(phaseBounds, longestDeadlineMicros() + RESPONSE_LATENESS_MICROS);
         this.loop = loop;
         this.ledger = ledger;
         this.router = router;
         this.log = log;
-        this.maxConnections = maxConnections;
-        acceptor = new Acceptor(loop, ledger, () -> evictConnection(null), log);
-        classes.forEach(type -> this.classes.put(type.name(), type));
+        connectionLimit = new ConnectionLimit(maxConnections);
+        acceptor = new Acceptor(loop, ledger, () -> evictConnection(null, true), log);
         tenants.stream().map(Tenant::name).forEach(this.tenants::add);
     }
 
@@ -171,7 +172,8 @@
      * loop.
      */
     int connectionCount(boolean withHttpHandlers) {
-        int withoutHandlers = connections.size(ConnectionPhase.DORMANT) + connections.size(ConnectionPhase.SILENT);
+        int withoutHandlers = connections.size(ConnectionPhase.DORMANT) + connections.size(ConnectionPhase.SILENT)
+                + connections.size(ConnectionPhase.SURPLUS);
         return withHttpHandlers ? connections.size() - withoutHandlers : withoutHandlers;
     }
 
@@ -219,9 +221,8 @@
      */
     public void stop(long maxDeadlineMicros, Runnable onStopped) {
         stopping = true;
-        long longestDeadlineMicros = Math.min(maxDeadlineMicros,
-                classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0));
-        answerDeadlineMicros = ledger.now() + Math.max(longestDeadlineMicros + STOP_ANSWER_MARGIN_MICROS,
+        long deadlineMicros = Math.min(maxDeadlineMicros, longestDeadlineMicros());
+        answerDeadlineMicros = ledger.now() + Math.max(deadlineMicros + STOP_ANSWER_MARGIN_MICROS,
                 STOP_ACCEPT_MILLIS * 1_000 + STOP_MIN_LAST_CONNECTION_MICROS);
         stopCallback = onStopped;
         if (acceptor.channel() == null) {  // stopped before it listened: it never will
@@ -239,13 +240,18 @@
                 TimeUnit.MICROSECONDS);
         loop.schedule(() -> {
             connections.forEach(ConnectionPhase.BUSY, Connection::failOpenRequest);
-            // the time to complete partial requests is over
-            List.of(ConnectionPhase.SILENT, ConnectionPhase.PART).forEach(phase -> closeUnlessRequested(phase, true));
+            // the time to complete partial requests, and to read abandoned responses, is over
+            List.of(ConnectionPhase.SILENT, ConnectionPhase.SURPLUS, ConnectionPhase.PART, ConnectionPhase.STALLED,
+                    ConnectionPhase.ABANDONED).forEach(phase -> closeUnlessRequested(phase, true));
         }, answeredInMicros, TimeUnit.MICROSECONDS);
         // Connections that are still open by then are logged, since the process may be killed next.
         loop.schedule(this::logOpenConnections, answeredInMicros + STOP_LOG_DELAY_MICROS, TimeUnit.MICROSECONDS);
     }
 
+    private long longestDeadlineMicros() {
+        return classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+    }
+
     private void logOpenConnections() {
         if (connections.size() > 0) {
             log.accept("shutdown is waiting for connections: " + phaseCounts() + "; unanswered requests: "
@@ -263,13 +269,6 @@
         return phases.toString();
     }
 
-    private void logLimitReached() {
-        if (ledger.now() - limitLoggedAtMicros >= LIMIT_LOG_INTERVAL_MICROS) {
-            limitLoggedAtMicros = ledger.now();
-            log.accept("connections of clients are at their limit: " + phaseCounts() + "; accepting is paused");
-        }
-    }
-
     /**
      * From now on each connection closes after the last response that it is owed, and connections that never sent a
      * request close now. One that rests stays open for a while, and one with a partial request, since the rest of it is
@@ -277,7 +276,8 @@
      */
     void endServing() {
         servingEnded = true;
-        closeUnlessRequested(ConnectionPhase.SILENT, false);
+        List.of(ConnectionPhase.SILENT, ConnectionPhase.SURPLUS)
+                .forEach(phase -> closeUnlessRequested(phase, false));
         completeStopIfDone();
     }
 
@@ -291,21 +291,62 @@
 
     private void closeOverdueConnections() {
         connections.forEachOverdue(ledger.now(), MAX_CLOSES_PER_SWEEP, Connection::handleOverdue);
+        makeRoom(null);
+    }
+
+    /**
+     * Handles a connection that was just accepted. Above the limit others are evicted. If none can be, the request of
+     * the new one will be refused unless there is room by then, and only when the reserve for that is used up does
+     * accepting pause: requests in the listen backlog have been taken, and nobody would answer them.
+     */
+    private void admit(Connection accepted) {
+        if (makeRoom(accepted.entry)) {
+            return;
+        }
+        boolean reserveUsedUp = connectionLimit.isReserveUsedUp(connections.size());
+        if (reserveUsedUp && !evictConnection(accepted.entry, true)) {
+            acceptor.pause();
+        }
+        accepted.surplus = true;
+        connections.moveTo(ledger.now(), accepted.entry, ConnectionPhase.SURPLUS);
+        logLimitReached();
+    }
+
+    private void logLimitReached() {
+        if (ledger.now() - limitLoggedAtMicros >= LIMIT_LOG_INTERVAL_MICROS) {
+            limitLoggedAtMicros = ledger.now();
+            log.accept("connections of clients are at their limit: " + phaseCounts()
+                    + (acceptor.isPaused() ? "; accepting is paused" : "; requests of new ones are refused"));
+        }
+    }
+
+    /** Evicts connections until the limit is kept; returns whether it is. */
+    private boolean makeRoom(ClientConnectionTable.Entry<Connection> newcomer) {
+        while (connectionLimit.isExceeded(connections.size())) {
+            if (!evictConnection(newcomer, false)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /**
      * Closes a connection that is owed no response. Its unread input is read first, since it may contain a request.
      * Returns false if no connection could be closed.
      */
-    private boolean evictConnection(ClientConnectionTable.Entry<Connection> newcomer) {
+    private boolean evictConnection(ClientConnectionTable.Entry<Connection> newcomer, boolean lastResort) {
         for (int i = 0; i < MAX_EVICTION_CANDIDATES; i++) {
             Connection candidate = connections.evictionCandidate(newcomer);
+            if (candidate == null && lastResort) {
+                candidate = connections.lastResort();
+            }
             if (candidate == null) {
                 return false;
             }
+            ConnectionPhase phase = candidate.entry.phase();
             boolean hadPartialRequest = candidate.hasPartialRequest();
             UnreadInput.read(candidate.channel);
-            if (candidate.currentRequest == null && candidate.hasPartialRequest() == hadPartialRequest) {
+            if (candidate.entry.phase() == phase && candidate.hasPartialRequest() == hadPartialRequest) {
                 candidate.close();
                 return true;
             }
@@ -379,6 +420,8 @@
         private boolean requestCompleted;
         private boolean inputFailed;  // no request can be read any more behind the current one
         private boolean lastResponseWritten;
+        private boolean surplus;  // opened when there was no room for it, and no request of it has been served yet
+        private boolean closesToMakeRoom;
         private long openedTurn;
         private long earliestOpenMicros;  // earliest time at which it may have been in the listen backlog
 
@@ -386,32 +429,28 @@
             this.channel = channel;
         }
 
-        /** Above the connection limit another connection is evicted; if none can be, accepting pauses. */
         @Override
         public void channelActive(ChannelHandlerContext context) {
             openedTurn = ledger.turnNumber();
             earliestOpenMicros = acceptor.earliestArrivalMicros();
             entry = connections.add(ledger.now(), this, addressPrefix(channel.remoteAddress()));
-            if (connections.size() > maxConnections && !evictConnection(entry)) {
-                acceptor.pause();
-                logLimitReached();
-            }
+            admit(this);
         }
 
         /**
-         * Removes the HTTP handlers of a connection that has been idle for a while; closes it in any other case. It
-         * closes without a response, since a 408 might cross a request and be taken for its answer.
+         * Moves a connection to the phase that follows, without its HTTP handlers if it has been idle for a while;
+         * closes it if none follows. It closes without a response, since a 408 might cross a request and be taken for
+         * its answer.
          */
         private void handleOverdue(ConnectionPhase phase) {
-            if (phase == ConnectionPhase.IDLE && decoder.isBetweenRequests()) {
-                connections.moveTo(ledger.now(), entry, ConnectionPhase.DORMANT);
+            if (phase == ConnectionPhase.IDLE && hasPartialRequest() || !connections.advance(entry)) {
+                closeUnlessRequested(phase, true);
+            } else if (phase == ConnectionPhase.IDLE) {
                 channel.pipeline().remove(StrictDecoder.class);
                 channel.pipeline().remove(HttpResponseEncoder.class);
                 channel.pipeline().remove(RequestAggregator.class);
                 decoder = null;
                 pipelined = null;
-            } else {
-                closeUnlessRequested(phase, true);
             }
         }
 
@@ -452,7 +491,7 @@
                 connections.remove(entry);
             }
             openRequestIds.remove(requestId);
-            if (connections.size() <= maxConnections) {
+            if (!connectionLimit.isReserveUsedUp(connections.size())) {
                 acceptor.resume();
             }
             if (pipelined != null) {
@@ -526,10 +565,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             if (!requestCompleted && currentRequest == null && !lastResponseWritten && hasPartialRequest()) {
-                // If the bound for silence is no longer, it stays in force: a client that trickles must not gain time
-                // by its first byte.
-                boolean keepsSilentBound = entry.phase() == ConnectionPhase.SILENT && phaseBounds.silentMicros() <= phaseBounds.requestMicros();
-                connections.moveTo(ledger.now(), entry, keepsSilentBound ? ConnectionPhase.SILENT : ConnectionPhase.PART);
+                connections.receivedPart(ledger.now(), entry);
             }
             requestCompleted = false;
         }
@@ -540,8 +576,8 @@
                 connections.moveTo(ledger.now(), entry, decoder.isBetweenRequests() ? ConnectionPhase.IDLE : ConnectionPhase.PART);
                 if (servingEnded && entry.phase() == ConnectionPhase.IDLE) {
                     close();  // its response was on the way when the other connections were closed
-                } else if (connections.size() > maxConnections) {  // else accepting, once paused, never resumes
-                    evictConnection(null);
+                } else if (acceptor.isPaused()) {  // else accepting never resumes
+                    makeRoom(null);
                 }
                 return;
             }
@@ -642,13 +678,25 @@
                     writeEmptyResponse(HttpResponseStatus.NOT_FOUND, false);
                     return;
                 }
-                exchange = ledger.accept(pool, this, new HttpCall(message.retain()),
-                        new RequestAttributes(requestClass.name(), tenant, affinityKey, timeLeftMicros, head.isRepeat(),
-                                message.method().equals(HttpMethod.POST), workMicros, clientZone(), effectKey),
-                        waitedMicros);
+                HttpCall call = new HttpCall(message.retain());
+                RequestAttributes attributes = new RequestAttributes(requestClass.name(), tenant, affinityKey, timeLeftMicros,
+                        head.isRepeat(), message.method().equals(HttpMethod.POST), workMicros, clientZone(), effectKey);
+                surplus = surplus && !makeRoom(null);
+                if (surplus) {
+                    refuseForLackOfRoom(pool, call, attributes);
+                } else {
+                    exchange = ledger.accept(pool, this, call, attributes, waitedMicros);
+                }
             }
         }
 
+        /** Refuses the request and closes the connection, once all requests that have arrived on it are answered. */
+        private void refuseForLackOfRoom(Pool pool, HttpCall call, RequestAttributes attributes) {
+            UnreadInput.read(channel);
+            closesToMakeRoom = true;
+            ledger.refuse(pool, this, call, attributes);
+        }
+
         private String clientZone() {
             return clientZoneByAddress == null || !(channel.remoteAddress() instanceof InetSocketAddress remote) ? ""
                     : clientZoneByAddress.apply(remote.getAddress());
@@ -733,9 +781,9 @@
             exchange = null;
             openRequestIds.remove(requestId);
             requestId = null;
-            // During a shutdown the connection closes with the last response that it is owed.
+            // During a shutdown, or to make room, the connection closes with the last response that it is owed.
             boolean moreRequests = overflowCount > 0 || pipelined != null && !pipelined.isEmpty();
-            boolean keepAlive = !close && !inputFailed && (moreRequests || !servingEnded)
+            boolean keepAlive = !close && !inputFailed && (moreRequests || !servingEnded && !closesToMakeRoom)
                     && HttpUtil.isKeepAlive(currentRequest);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             HttpUtil.setKeepAlive(response, keepAlive);
--- a/src/test/java/mastdrift/limits/ClientConnectionTableTest.java
+++ b/src/test/java/mastdrift/limits/ClientConnectionTableTest.java
@@ -23,8 +23,19 @@
 
 class ClientConnectionTableTest {
 
-    private static final PhaseBounds BOUNDS = new PhaseBounds(2_000, 3_000, 4_000,
-            PhaseBounds.IDLE_BEFORE_DORMANT_MICROS + 5_000);
+    private static final PhaseBounds BOUNDS = new PhaseBounds(200_000, 800_000, 900_000,
+            PhaseBounds.IDLE_BEFORE_DORMANT_MICROS + 500_000);
+    private static final long RESPONSE_OWED_MICROS = 300_000;
+    private static final int MAX_STEP_MICROS = 30_000;
+    // The phases that a connection enters by an event, and those that follow at the bound of another phase.
+    private static final List<ConnectionPhase> ENTERED_BY_EVENT = List.of(ConnectionPhase.SILENT, ConnectionPhase.SURPLUS,
+            ConnectionPhase.PART, ConnectionPhase.BUSY, ConnectionPhase.UNREAD, ConnectionPhase.IDLE);
+    private static final Map<ConnectionPhase, ConnectionPhase> SUCCESSORS = Map.of(
+            ConnectionPhase.PART, ConnectionPhase.STALLED, ConnectionPhase.UNREAD, ConnectionPhase.ABANDONED,
+            ConnectionPhase.IDLE, ConnectionPhase.DORMANT);
+    private static final List<List<ConnectionPhase>> EVICTION_ORDER = List.of(
+            List.of(ConnectionPhase.STALLED, ConnectionPhase.ABANDONED), List.of(ConnectionPhase.SILENT),
+            List.of(ConnectionPhase.IDLE, ConnectionPhase.DORMANT));
 
     /** A connection of the reference model, kept in a plain map. */
     private static final class ModelConnection {
@@ -38,23 +49,46 @@
             this.id = id;
             this.address = address;
         }
+
+        boolean isEvictable() {
+            return EVICTION_ORDER.stream().anyMatch(phases -> phases.contains(phase));
+        }
+
+        int evictionRank() {
+            return EVICTION_ORDER.indexOf(EVICTION_ORDER.stream().filter(phases -> phases.contains(phase)).findFirst()
+                    .orElseThrow());
+        }
+
+        long boundMicros() {
+            return BOUNDS.boundMicros(phase, RESPONSE_OWED_MICROS);
+        }
+
+        void enter(ConnectionPhase next, long at, int nextOrder) {
+            phase = next;
+            phaseEnteredAt = at;
+            order = nextOrder;
+        }
     }
 
     /**
      * Compares the table with a reference model that searches plain lists, through random courses of events: the same
-     * connections are overdue, and the one to close is of an address with the most evictable connections, a silent one
-     * if there is any, and the oldest of those.
+     * connections are overdue, they enter the same phases at their bounds, and the one to close is of an address with
+     * the most evictable connections, a stalled one if there is any, else a silent one, else an idle one, and the oldest
+     * of those.
      */
     @Property(tries = 150)
     void agreesWithReferenceModel(@ForAll long seed, @ForAll @IntRange(min = 1, max = 12) int addresses) {
         Random random = new Random(seed);
-        ClientConnectionTable<Integer> connections = new ClientConnectionTable<>(BOUNDS);
+        ClientConnectionTable<Integer> connections = new ClientConnectionTable<>(BOUNDS, RESPONSE_OWED_MICROS);
         Map<Integer, ModelConnection> model = new LinkedHashMap<>();
         Map<Integer, ClientConnectionTable.Entry<Integer>> entries = new HashMap<>();
         long now = 0;
         int order = 0;
         for (int i = 0; i < 400; i++) {
-            now += random.nextInt(300);
+            now += random.nextInt(MAX_STEP_MICROS);
+            if (random.nextInt(8) == 0) {
+                order = advanceOverdue(now, connections, model, entries, order);
+            }
             if (model.isEmpty() || random.nextInt(3) == 0) {
                 ModelConnection connection = new ModelConnection(i, random.nextInt(addresses));
                 connection.phaseEnteredAt = now;
@@ -68,12 +102,10 @@
                     connections.remove(entries.get(connection.id));
                     model.remove(connection.id);
                 } else {
-                    ConnectionPhase phase = ConnectionPhase.values()[random.nextInt(ConnectionPhase.values().length)];
+                    ConnectionPhase phase = ENTERED_BY_EVENT.get(random.nextInt(ENTERED_BY_EVENT.size()));
                     connections.moveTo(now, entries.get(connection.id), phase);
                     if (phase != connection.phase) {
-                        connection.phase = phase;
-                        connection.phaseEnteredAt = now;
-                        connection.order = order++;
+                        connection.enter(phase, now, order++);
                     }
                 }
             }
@@ -84,6 +116,27 @@
         }
     }
 
+    /** Moves all overdue connections on, or removes them, in the table and in the model. */
+    private static int advanceOverdue(long now, ClientConnectionTable<Integer> connections,
+            Map<Integer, ModelConnection> model, Map<Integer, ClientConnectionTable.Entry<Integer>> entries, int order) {
+        List<Integer> overdue = new ArrayList<>();
+        connections.forEachOverdue(now, Integer.MAX_VALUE, (id, phase) -> overdue.add(id));
+        int nextOrder = order;
+        for (Integer id : overdue) {
+            ModelConnection connection = model.get(id);
+            ConnectionPhase next = SUCCESSORS.get(connection.phase);
+            assertEquals(next != null, connections.advance(entries.get(id)));
+            if (next == null) {
+                connections.remove(entries.get(id));
+                model.remove(id);
+            } else {
+                connection.enter(next, connection.phaseEnteredAt + connection.boundMicros(), nextOrder++);
+                assertEquals(next, entries.get(id).phase());
+            }
+        }
+        return nextOrder;
+    }
+
     private static void check(long now, ClientConnectionTable<Integer> connections, Map<Integer, ModelConnection> model,
             ClientConnectionTable.Entry<Integer> newcomer, Map<Integer, ClientConnectionTable.Entry<Integer>> entries) {
         assertEquals(model.size(), connections.size());
@@ -102,12 +155,16 @@
             assertTrue(overdue.add(id));
         });
         for (ModelConnection connection : model.values()) {
-            assertEquals(now - connection.phaseEnteredAt > BOUNDS.boundMicros(connection.phase),
+            assertEquals(now - connection.phaseEnteredAt > connection.boundMicros(),
                     overdue.contains(connection.id));
         }
+        assertEquals(model.values().stream()
+                .filter(p -> p.phase == ConnectionPhase.SURPLUS || p.phase == ConnectionPhase.PART)
+                .min(Comparator.comparing((ModelConnection p) -> p.phase).thenComparing(p -> p.order)).map(p -> p.id)
+                .orElse(null), connections.lastResort());
         Integer candidate = connections.evictionCandidate(newcomer);
         Map<Long, List<ModelConnection>> evictableByAddress = new HashMap<>();
-        model.values().stream().filter(p -> p.phase.isEvictable()).forEach(
+        model.values().stream().filter(ModelConnection::isEvictable).forEach(
                 p -> evictableByAddress.computeIfAbsent(p.address, a -> new ArrayList<>()).add(p));
         int maxEvictable = evictableByAddress.values().stream().mapToInt(List::size).max().orElse(0);
         if (candidate == null) {
@@ -118,11 +175,11 @@
             return;
         }
         ModelConnection connection = model.get(candidate);
-        assertTrue(connection.phase.isEvictable() && entries.get(connection.id) != newcomer);
+        assertTrue(connection.isEvictable() && entries.get(connection.id) != newcomer);
         List<ModelConnection> ofSameAddress = evictableByAddress.get(connection.address);
         assertEquals(maxEvictable, ofSameAddress.size());
         ModelConnection oldest = ofSameAddress.stream().filter(p -> entries.get(p.id) != newcomer).min(Comparator
-                .comparing((ModelConnection p) -> p.phase != ConnectionPhase.SILENT).thenComparing(p -> p.order))
+                .comparing(ModelConnection::evictionRank).thenComparing(p -> p.order))
                 .orElseThrow();
         assertEquals(oldest.id, connection.id);
     }
@@ -133,7 +190,7 @@
      */
     @Test
     void floodingAddressEvictsItsOwnConnections() {
-        ClientConnectionTable<String> connections = new ClientConnectionTable<>(PhaseBounds.DEFAULT);
+        ClientConnectionTable<String> connections = new ClientConnectionTable<>(PhaseBounds.DEFAULT, RESPONSE_OWED_MICROS);
         ClientConnectionTable.Entry<String> quiet = connections.add(0, "quiet", 1);
         connections.moveTo(1, quiet, ConnectionPhase.IDLE);
         for (int i = 0; i < 10_000; i++) {
@@ -147,22 +204,63 @@
     }
 
     /**
-     * A connection with a request in progress, a partial request or an unread response is never closed to make room.
+     * A connection with a request in progress, with a partial request whose rest may be on its way, with a response that
+     * is still owed, or that was opened beyond the limit just now, is never closed to make room.
      */
     @ParameterizedTest
-    @CsvSource({"PART", "BUSY", "UNREAD"})
+    @CsvSource({"PART", "BUSY", "UNREAD", "SURPLUS"})
     void connectionInUseIsNeverEvicted(ConnectionPhase phase) {
-        ClientConnectionTable<String> connections = new ClientConnectionTable<>(PhaseBounds.DEFAULT);
+        ClientConnectionTable<String> connections = new ClientConnectionTable<>(PhaseBounds.DEFAULT, RESPONSE_OWED_MICROS);
         for (int i = 0; i < 10; i++) {
             connections.moveTo(i, connections.add(i, "used", 1), phase);
         }
         assertNull(connections.evictionCandidate(connections.add(100, "new", 2)));
     }
 
+    /**
+     * A client that stops within a request, or that doesn't read its response, holds its place for a while and not for
+     * the whole bound of the phase; it loses it before a client that rests between requests.
+     */
+    @ParameterizedTest
+    @CsvSource({"PART, STALLED", "UNREAD, ABANDONED"})
+    void stalledConnectionIsEvictedBeforeIdleOnes(ConnectionPhase phase, ConnectionPhase stalled) {
+        ClientConnectionTable<String> connections = new ClientConnectionTable<>(BOUNDS, RESPONSE_OWED_MICROS);
+        ClientConnectionTable.Entry<String> stalling = connections.add(0, "stalling", 1);
+        connections.moveTo(0, stalling, phase);
+        long stalledAt = BOUNDS.boundMicros(phase, RESPONSE_OWED_MICROS);
+        connections.forEachOverdue(stalledAt, 1, (id, overduePhase) -> connections.advance(stalling));
+        assertEquals(phase, stalling.phase());
+        assertNull(connections.evictionCandidate(null));
+        connections.forEachOverdue(stalledAt + 1, 1, (id, overduePhase) -> connections.advance(stalling));
+        assertEquals(stalled, stalling.phase());
+        connections.moveTo(0, connections.add(0, "idle", 1), ConnectionPhase.IDLE);
+        assertEquals("stalling", connections.evictionCandidate(null));
+        List<String> closed = new ArrayList<>();
+        connections.forEachOverdue(Long.MAX_VALUE / 2, 1, (id, overduePhase) -> closed.add(id + " " + overduePhase));
+        assertTrue(closed.contains("stalling " + stalled), "bounded all the same: " + closed);
+    }
+
+    /** Bytes that trickle in neither free a stalled connection nor prolong the time for a first request. */
+    @Test
+    void trickledBytesGainNoTime() {
+        ClientConnectionTable<String> connections = new ClientConnectionTable<>(BOUNDS, RESPONSE_OWED_MICROS);
+        ClientConnectionTable.Entry<String> first = connections.add(0, "first", 1);
+        connections.receivedPart(1, first);
+        assertEquals(ConnectionPhase.SILENT, first.phase());
+        ClientConnectionTable.Entry<String> later = connections.add(0, "later", 1);
+        connections.moveTo(0, later, ConnectionPhase.IDLE);
+        connections.receivedPart(1, later);
+        connections.receivedPart(2, later);
+        assertEquals(ConnectionPhase.PART, later.phase());
+        assertTrue(connections.advance(later));
+        connections.receivedPart(PhaseBounds.PART_BEFORE_STALLED_MICROS + 10, later);
+        assertEquals(ConnectionPhase.STALLED, later.phase());
+    }
+
     /** A check of many overdue connections stops at its limit, so that it doesn't block the event loop. */
     @Test
     void overdueCheckStopsAtLimit() {
-        ClientConnectionTable<Integer> connections = new ClientConnectionTable<>(PhaseBounds.DEFAULT);
+        ClientConnectionTable<Integer> connections = new ClientConnectionTable<>(PhaseBounds.DEFAULT, RESPONSE_OWED_MICROS);
         for (int i = 0; i < 1_000; i++) {
             connections.add(0, i, 1);
         }
