Let silent connections make room for peers, and retry a failed accept between gateways soon

PeerLinks holds 64 connections, or an eighth of its maximum, that are not yet authenticated, for up to 2 s each, and refused whoever came beside them: a phase that can't make room. And a failed accept (EMFILE, ECONNABORTED) left the listener to Netty, which pauses it for a second. Callers saw: gateways, log and control machines not reached for as long as connections that send nothing keep coming.

Change: PendingHandshakes has the oldest of them make room for the new one; a genuine peer needs one round trip. AcceptRetryHandler accepts again after 10 ms, as HttpFront's Acceptor does.

Related paths looked at: the links of peers, of the agreed log and of the distribution all go by PeerLinks; reading that pauses for a second beyond 4,000 messages a second concerns one authenticated connection alone; no other listener of the program accepts connections but in the warm-up, from itself, and in rigs.

Measured: silentConnectionsDoNotKeepAPeerOut failed before (its connection was refused 8 times), peerConnectsSoonAfterAnAcceptFails too (1,004 ms). Tests of peers, agreed and distribution.edge: 101, no failure.

--- a/src/main/java/mastdrift/peers/edge/PeerLinks.java
+++ b/src/main/java/mastdrift/peers/edge/PeerLinks.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,6 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -60,7 +62,7 @@
  * <p>A message to a gateway that can't be reached is dropped, and {@link #send} reports it where it is known; callers
  * must tolerate the loss of any message. Bounds: connections in each direction; connections that are not yet
  * authenticated ({@value #MIN_UNAUTHENTICATED_LIMIT}, or an eighth of the maximum of connections, for {@value
- * #HANDSHAKE_TIMEOUT_MILLIS} ms); the size of a message ({@value #MAX_MESSAGE_BYTES} bytes); messages read per second
+ * #HANDSHAKE_TIMEOUT_MILLIS} ms at most; beyond that the oldest makes room); the size of a message ({@value #MAX_MESSAGE_BYTES} bytes); messages read per second
  * from one gateway ({@value #MAX_MESSAGES_PER_SECOND}; reading pauses beyond that); bytes that wait for a slow reader
  * ({@value #MAX_PENDING_WRITE_BYTES}).
  *
@@ -142,7 +144,7 @@
     private final String installation;
     private final String ownName;
     private final int maxConnections;
-    private final int maxUnauthenticated;
+    private final PendingHandshakes pendingHandshakes;
     private final Listener listener;
     private final LongSupplier clockMillis;
     private final SecureRandom random = new SecureRandom();
@@ -155,7 +157,7 @@
     private List<MessageAuthenticator> keys = List.of();
     private long generation;
     private long sweptAtMillis;
-    private int unauthenticated;
+    private ChannelFactory<? extends ServerChannel> serverChannelFactory = NioServerSocketChannel::new;
     private Channel serverChannel;
     private boolean closed;
     private long sent;
@@ -178,7 +180,8 @@
         this.installation = installation;
         this.ownName = ownName;
         this.maxConnections = maxConnections;
-        maxUnauthenticated = Math.max(MIN_UNAUTHENTICATED_LIMIT, maxConnections / CONNECTIONS_PER_UNAUTHENTICATED);
+        pendingHandshakes = new PendingHandshakes(
+                Math.max(MIN_UNAUTHENTICATED_LIMIT, maxConnections / CONNECTIONS_PER_UNAUTHENTICATED));
         this.listener = listener;
         sweptAtMillis = nowMillis();
         sweepTask = loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
@@ -212,10 +215,16 @@
                 .forEach(each -> each.end("another address"));
     }
 
+    /** Uses another kind of server channel; call it before {@link #listen}. */
+    void setServerChannelFactory(ChannelFactory<? extends ServerChannel> factory) {
+        serverChannelFactory = factory;
+    }
+
     /** Binds to an address; the future has the result. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, Math.max(MIN_ACCEPT_BACKLOG, maxUnauthenticated))
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(serverChannelFactory)
+                .option(ChannelOption.SO_BACKLOG, Math.max(MIN_ACCEPT_BACKLOG, pendingHandshakes.limit()))
+                .handler(new AcceptRetryHandler())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -611,11 +620,11 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             acceptedChannels.add(channel);
-            if (++unauthenticated > maxUnauthenticated) {
-                refuse("peer_flood", String.valueOf(channel.remoteAddress()), "expected at most " + maxUnauthenticated
-                        + " unauthenticated connections");
-                channel.close();
-                return;
+            Channel oldest = pendingHandshakes.add(channel);
+            if (oldest != null) {
+                refuse("peer_flood", String.valueOf(oldest.remoteAddress()), "expected at most "
+                        + pendingHandshakes.limit() + " unauthenticated connections");
+                oldest.close();
             }
             channel.writeAndFlush(frame(channel, CHALLENGE, new byte[] {PROTOCOL_VERSION}, challenge));
             loop.schedule(() -> {
@@ -763,7 +772,7 @@
             }
             peerName = name;
             peerGeneration = startedGeneration.longValue();
-            unauthenticated--;
+            pendingHandshakes.remove(channel);
             sessionKey = signingKey.deriveKey(SESSION_LABEL, challenge, nonce);
             Inbound previous = inbound.get(peerName);
             if (previous != null) {
@@ -782,9 +791,8 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (acceptedChannels.remove(channel) && peerName == null) {
-                unauthenticated--;
-            }
+            acceptedChannels.remove(channel);
+            pendingHandshakes.remove(channel);
             if (peerName != null) {
                 unregister();
             }
--- a/src/test/java/mastdrift/peers/edge/PeerLinksReplyTest.java
+++ b/src/test/java/mastdrift/peers/edge/PeerLinksReplyTest.java
@@ -369,8 +369,8 @@
     }
 
     /**
-     * As many unauthenticated connections are accepted at once as an eighth of the connection limit; one more is
-     * refused.
+     * As many unauthenticated connections are held at once as an eighth of the connection limit; for one more the oldest
+     * is refused.
      */
     @Test
     void unauthenticatedLimitGrowsWithTheConnectionLimit() throws Exception {
--- a/src/test/java/mastdrift/peers/edge/PeerLinksTest.java
+++ b/src/test/java/mastdrift/peers/edge/PeerLinksTest.java
@@ -6,7 +6,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -21,6 +23,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import mastdrift.lab.rig.Relay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +35,8 @@
     private static final int MAX_WAIT_SECONDS = 30;
     private static final byte[] KEY = "one key".getBytes(StandardCharsets.UTF_8);
     private static final byte[] NEXT_KEY = "the next key".getBytes(StandardCharsets.UTF_8);
+    // Netty itself pauses for a second after a failed accept.
+    private static final long MAX_ACCEPT_MILLIS = 500;
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final List<TestPeer> peers = new ArrayList<>();
@@ -38,14 +44,20 @@
     private final class TestPeer implements PeerLinks.Listener {
         private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
         private final BlockingQueue<String> refusals = new LinkedBlockingQueue<>();
+        private final AtomicInteger closedOutbound = new AtomicInteger();
         private final PeerLinks links;
 
         TestPeer(String installation, String name, byte[]... keys) {
+            this(installation, name, NioServerSocketChannel::new, keys);
+        }
+
+        TestPeer(String installation, String name, Supplier<? extends ServerChannel> listener, byte[]... keys) {
             links = new PeerLinks(loop, installation, name, 8, this);
             loop.submit(() -> {
                 links.setGeneration(name.hashCode() & 0xFF);
                 links.setKeys(List.of(keys));
             }).syncUninterruptibly();
+            links.setServerChannelFactory(listener::get);
             links.listen(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly();
             peers.add(this);
         }
@@ -61,6 +73,11 @@
             refusals.add(code);
         }
 
+        @Override
+        public void outboundClosed(String to) {
+            closedOutbound.incrementAndGet();
+        }
+
         void setAddress(String name, InetSocketAddress address) {
             loop.submit(() -> links.setAddresses(Map.of(name, address))).syncUninterruptibly();
         }
@@ -204,6 +221,71 @@
         }
     }
 
+    /**
+     * Guards against connections that send nothing and hold every place for a handshake: a genuine peer was refused for
+     * as long. The oldest of them makes room.
+     */
+    @Test
+    void silentConnectionsDoNotKeepAPeerOut() throws Exception {
+        TestPeer b = new TestPeer("norte", "b", KEY);
+        TestPeer a = new TestPeer("norte", "a", KEY);
+        a.setAddress("b", b.links.address());
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < PeerLinks.MIN_UNAUTHENTICATED_LIMIT; i++) {
+                Socket socket = new Socket();
+                sockets.add(socket);
+                socket.setSoTimeout(MAX_WAIT_SECONDS * 1_000);
+                socket.connect(b.links.address());
+                assertTrue(socket.getInputStream().read() >= 0, "challenged, so it holds a place");
+            }
+            assertEquals("a 7 through", sendUntilReceived(a, "b", b, "through"));
+            assertEquals(0, a.closedOutbound.get(), "its connection was not refused");
+            sockets.get(0).getInputStream().readAllBytes();
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** A listener whose next accepts fail; waiting connections stay in the listen backlog. */
+    private static final class FailingListener extends NioServerSocketChannel {
+
+        private final AtomicInteger failures;
+
+        FailingListener(AtomicInteger failures) {
+            this.failures = failures;
+        }
+
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            if (failures.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+                throw new IOException("Too many open files");
+            }
+            return super.doReadMessages(accepted);
+        }
+    }
+
+    /** A failed accept holds up the peers that wait for a moment, and not for a second. */
+    @Test
+    void peerConnectsSoonAfterAnAcceptFails() throws Exception {
+        AtomicInteger failures = new AtomicInteger();
+        TestPeer b = new TestPeer("norte", "b", () -> new FailingListener(failures), KEY);
+        TestPeer first = new TestPeer("norte", "first", KEY);
+        first.setAddress("b", b.links.address());
+        assertTrue(first.send("b", "loads classes"));
+        assertTrue(next(b.received).startsWith("first"));
+        TestPeer second = new TestPeer("norte", "second", KEY);
+        second.setAddress("b", b.links.address());
+        failures.set(1);
+        long startNanos = System.nanoTime();
+        assertTrue(second.send("b", "x"));
+        assertTrue(next(b.received).startsWith("second"));
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(failures.get() == 0 && millis < MAX_ACCEPT_MILLIS, "received after " + millis + " ms");
+    }
+
     /**
      * A peer that takes what is sent and no longer answers has vanished: its connection is closed, and a new one is
      * tried.
