Log answers to RADIUS clients that are discarded because the port is closed

Chargers had no answer to starts that had run, and the log said 'stopped' alone: whether the servers' answers reached the gateway, or were lost ahead of it, or on the way to the chargers can't be told from that.

Change: an answer whose port is closed is counted and logged as PORT_CLOSED, like all that is dropped.

RadiusEdgeTest, RadiusServiceTest: no failure.

--- a/src/main/java/mastdrift/radius/edge/DropCounters.java
+++ b/src/main/java/mastdrift/radius/edge/DropCounters.java
@@ -30,7 +30,9 @@
         /** The packet to be sent would exceed the maximum length. */
         TOO_LONG,
         /** No route matches. */
-        NO_ROUTE
+        NO_ROUTE,
+        /** An answer to a client whose port is closed already. */
+        PORT_CLOSED
     }
 
     private static final long LOG_INTERVAL_MICROS = 1_000_000;
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -211,6 +211,10 @@
     }
 
     private void send(InetSocketAddress to, byte[] bytes) {
+        if (!channel.isOpen()) {
+            dropCounters.recordDrop(DropCounters.Cause.PORT_CLOSED, to, "an answer that came after the port was closed");
+            return;
+        }
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to), channel.voidPromise());
     }
 
