Stand-in for RADIUS servers: answer a retransmission only once its request has been worked on

Cause: the stand-in kept the response as soon as a request came, and answered a retransmission with it at once. Since the gateway retransmits after 0.4 s, no request ever took longer, whatever work it was told to take. Seen while a test held a start at its server for 5 s: DELIVERED after 0.4 s.

Change: the response is kept when it is sent; until then a retransmission is dropped, as RFC 5080, 2.2.2 has it.

--- a/src/main/java/mastdrift/standin/StandInRadiusServer.java
+++ b/src/main/java/mastdrift/standin/StandInRadiusServer.java
@@ -7,9 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -19,12 +19,16 @@
 import mastdrift.radius.MalformedPacketException;
 import mastdrift.radius.Packet;
 
-/** A RADIUS server by script on a loopback port: accepts every card, takes all accounting, tells resends by source, identifier
-    and authenticator, and answers them as before. */
+/**
+ * A RADIUS server by script on a loopback port: accepts every card, takes all accounting, tells retransmissions by source,
+ * identifier and authenticator, and answers them as before; those of a request in progress are answered with it.
+ */
 public final class StandInRadiusServer implements AutoCloseable {
 
     private static final int REQUESTS_MOST = 1000;
     private static final int ERROR_CAUSE = 101;
+    // Stands for the response to a request that has none yet.
+    private static final byte[] NO_RESPONSE = {};
 
     /** What it does with a request. */
     public enum Manner {
@@ -52,7 +56,7 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final Map<String, byte[]> answered = new HashMap<>();
+    private final Map<String, byte[]> responses = new ConcurrentHashMap<>();
     private final List<Packet> requests = new ArrayList<>();
     private final AtomicLong runs = new AtomicLong();
     private final AtomicLong bytesIn = new AtomicLong();
@@ -97,17 +101,16 @@
     private void take(Authenticators own, DatagramPacket from, Packet request) throws IOException {
         if (restarted) {
             restarted = false;
-            answered.clear();
+            responses.clear();
         }
         String identity = from.getSocketAddress() + "/" + request.identifier() + "/" + Arrays.toString(request.authenticator());
-        byte[] before = answered.get(identity);
-        if (before != null || answered.containsKey(identity)) {
-            if (before != null) {
-                reply(before, from);
+        byte[] known = responses.putIfAbsent(identity, NO_RESPONSE);
+        if (known != null) {
+            if (known != NO_RESPONSE) {
+                reply(known, from);
             }
             return;
         }
-        answered.put(identity, null);
         lastAt = System.nanoTime();
         synchronized (requests) {
             if (requests.size() < REQUESTS_MOST) {
@@ -140,8 +143,8 @@
             lie(own, from, request, back);
         }
         boolean twice = manner == Manner.TWICE;
-        answered.put(identity, answer);
         later.schedule(() -> {
+            responses.put(identity, answer);
             reply(answer, from);
             if (twice) {
                 reply(answer, from);
