Answer RADIUS requests that are out before a stop closes their port

Cause: Service.stop closed the RADIUS ports first, on the thought that chargers turn to another gateway; that holds for what is new and not for what is out, whose answers can only leave by that port. And the end was decided by HttpFront alone, which counts HTTP connections.

Ruled out: answers lost between server and gateway, a process that ended first.

Change: engine.Front is what a stop asks of any protocol, and Service waits for all of them. RadiusFront knows its open requests; in a stop it serves new ones for 1.5 s, drops later ones (STOPPING), answers what is out and retransmissions, and closes the port once nothing is open, all is sent and the receive buffer was found empty. engine.ShutdownSchedule holds the times, which HttpFront had for itself. Requests that are accepted meanwhile get no more time than the stop has.

Why this works: the port outlives every request that was taken on it, and each of these ends by the schedule, so that the stop ends too.

--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -51,8 +51,10 @@
 import mastdrift.engine.RequestAttributes;
 import mastdrift.engine.Responder;
 import mastdrift.engine.Exchange;
+import mastdrift.engine.Front;
 import mastdrift.engine.RequestTracker;
 import mastdrift.engine.Pool;
+import mastdrift.engine.ShutdownSchedule;
 import mastdrift.limits.ClientConnectionTable;
 import mastdrift.limits.ConnectionLimit;
 import mastdrift.limits.ConnectionPhase;
@@ -63,7 +65,7 @@
  * {@link RequestTracker} and writes the final responses. It bounds the number of connections and the time that each may spend
  * in a {@link Phase}.
  */
-public final class HttpFront {
+public final class HttpFront implements Front {
 
     /** Chooses the pool that a request is for. */
     public interface Router {
@@ -87,13 +89,9 @@
     private static final int MAX_READS_AFTER_PAUSE = 16;
     // During a shutdown, new connections keep arriving for a while until it has been noticed that this gateway stops.
     private static final long STOP_ACCEPT_MILLIS = 500;
-    // During a shutdown, clients are served on their existing connections for this long, since other gateways may be
-    // unavailable as well. From then on a connection closes with its next response, and those that rest close later:
-    // by then few clients are left whose next request could cross the close. All requests are answered at the latest
-    // STOP_ANSWER_MARGIN_MICROS after the longest deadline, before the process may be killed.
-    private static final long STOP_SERVE_MILLIS = 1500;
+    // When serving has ended, a connection closes with its next response; those that rest close only this long after the
+    // shutdown began, when few clients are left whose next request could cross the close.
     private static final long STOP_REST_MILLIS = 3500;
-    private static final long STOP_ANSWER_MARGIN_MICROS = 400_000;
     // Minimum time for clients that connect just before the listener closes, however short the deadlines are.
     private static final long STOP_MIN_LAST_CONNECTION_MICROS = 50_000;
     // Connections that are still open this long after all requests should have been answered are logged.
@@ -214,16 +212,16 @@
     }
 
     /**
-     * Shuts down gracefully: keeps serving for a short time, then finishes the requests that were taken and closes the
-     * connections. {@code onStopped} runs once everything is answered and closed. The shutdown waits for the longest
-     * deadline of a class, but no more than {@code maxDeadlineMicros} microseconds: a request that is open 0.4 s later
-     * is answered at once, since a process that is killed answers nobody.
+     * As for every front; new connections are accepted for a short time, and {@code onStopped} runs once all connections
+     * are closed.
      */
+    @Override
     public void stop(long maxDeadlineMicros, Runnable onStopped) {
         stopping = true;
-        long deadlineMicros = Math.min(maxDeadlineMicros, longestDeadlineMicros());
-        answerDeadlineMicros = ledger.now() + Math.max(deadlineMicros + STOP_ANSWER_MARGIN_MICROS,
+        ShutdownSchedule schedule = ShutdownSchedule.starting(ledger.now(),
+                Math.min(maxDeadlineMicros, longestDeadlineMicros()),
                 STOP_ACCEPT_MILLIS * 1_000 + STOP_MIN_LAST_CONNECTION_MICROS);
+        answerDeadlineMicros = schedule.answerByMicros();
         stopCallback = onStopped;
         if (acceptor.channel() == null) {  // stopped before it listened: it never will
             acceptor.close();
@@ -233,9 +231,8 @@
         }
         loop.schedule(() -> acceptor.closeOnceBacklogIsEmpty(() -> ledger.now() >= answerDeadlineMicros,
                 this::completeStopIfDone), STOP_ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
-        // With short deadlines the process may be killed sooner than that.
         long answeredInMicros = answerDeadlineMicros - ledger.now();
-        loop.schedule(this::endServing, Math.min(STOP_SERVE_MILLIS * 1_000, answeredInMicros), TimeUnit.MICROSECONDS);
+        loop.schedule(this::endServing, schedule.serveUntilMicros() - ledger.now(), TimeUnit.MICROSECONDS);
         loop.schedule(this::closeRestingConnections, Math.min(STOP_REST_MILLIS * 1_000, answeredInMicros),
                 TimeUnit.MICROSECONDS);
         loop.schedule(() -> {
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -17,13 +18,19 @@
 import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import mastdrift.engine.ResponseMessage;
+import mastdrift.engine.Exchange;
+import mastdrift.engine.Front;
+import mastdrift.engine.Pool;
 import mastdrift.engine.RequestAttributes;
-import mastdrift.engine.Responder;
 import mastdrift.engine.RequestTracker;
-import mastdrift.engine.Pool;
+import mastdrift.engine.Responder;
+import mastdrift.engine.ResponseMessage;
+import mastdrift.engine.ShutdownSchedule;
 import mastdrift.radius.Attribute;
 import mastdrift.radius.Authenticators;
 import mastdrift.radius.Code;
@@ -42,10 +49,15 @@
  * requests to the ledger and sends one response for each, which is repeated byte for byte on a retransmission. A
  * refused or failed request gets no response: RADIUS has no response for these cases that a client would not take for
  * an Access-Reject (docs/design/radius.md).
+ *
+ * <p>The port stays open during a shutdown until all requests are answered: the answers are sent from it, and a client
+ * that retransmits meanwhile gets its answer too.
  */
-public final class RadiusFront {
+public final class RadiusFront implements Front {
 
     private static final int RECEIVE_BUFFER_BYTES = 1 << 20;
+    private static final int MAX_PACKETS_PER_READ = 16;
+    private static final long STOP_CHECK_INTERVAL_MILLIS = 1;
     private static final int MAX_CONVERSATIONS = 1 << 14;
     // a user asked for further input at a charging station waits no longer
     private static final long CONVERSATION_RETENTION_MICROS = 60_000_000;
@@ -73,7 +85,12 @@
             CONVERSATION_RETENTION_MICROS);
     private final DropCounters dropCounters;
     private Function<InetAddress, String> zoneByAddress = address -> "";
-    private Channel channel;
+    private final Set<ResponseSender> openRequests = new LinkedHashSet<>();  // have no final answer yet
+    private int unsentPackets;
+    private Channel channel;  // null before the port is bound
+    private ShutdownSchedule shutdown;  // null before the shutdown
+    private long lastReceiveTurn;
+    private boolean receiveBufferEmptied = true;  // whether the last read of the port emptied its receive buffer
 
     /** All methods and callbacks run on the event loop's thread. */
     public RadiusFront(EventLoop loop, RequestTracker ledger, Router router, RadiusClients clients, Classes classes,
@@ -91,7 +108,8 @@
     public ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bindFuture = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Packet.MAX_BYTES + 1))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Packet.MAX_BYTES + 1)
+                        .maxMessagesPerRead(MAX_PACKETS_PER_READ))
                 .handler(new DatagramHandler()).bind(address);
         channel = bindFuture.channel();
         return bindFuture;
@@ -107,18 +125,65 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
-    /** Stops receiving; requests in progress are no longer answered. */
-    public void close() {
-        channel.close();
+    /**
+     * As for every front; a new request that arrives after the time to serve is dropped, which its client takes for a
+     * refusal, while retransmissions are answered until the port closes.
+     */
+    @Override
+    public void stop(long maxDeadlineMicros, Runnable onStopped) {
+        if (channel == null) {
+            onStopped.run();
+            return;
+        }
+        long longestTimeoutMicros = Math.max(classes.accessTimeoutMicros, classes.accountingTimeoutMicros);
+        shutdown = ShutdownSchedule.starting(ledger.now(), Math.min(maxDeadlineMicros, longestTimeoutMicros), 0);
+        scheduleAt(shutdown.serveUntilMicros(), () -> closeOnceAnswered(ledger.turnNumber(), onStopped));
+        scheduleAt(shutdown.answerByMicros(), () -> List.copyOf(openRequests).forEach(ResponseSender::timeOut));
+    }
+
+    private void scheduleAt(long atMicros, Runnable task) {
+        loop.schedule(task, atMicros - ledger.now(), TimeUnit.MICROSECONDS);
+    }
+
+    /**
+     * Closes the port once every request that arrived in time to be served has been read and answered. What has arrived
+     * is read by the first wait of a later turn than {@code sinceTurn} that empties the receive buffer.
+     */
+    private void closeOnceAnswered(long sinceTurn, Runnable onStopped) {
+        boolean reportsTurns = ledger.turnNumber() > 0;
+        boolean allRead = !reportsTurns || ledger.turnNumber() > sinceTurn
+                && (receiveBufferEmptied || ledger.turnNumber() > lastReceiveTurn + 1);
+        boolean allAnswered = openRequests.isEmpty() && unsentPackets == 0;
+        if (allRead && allAnswered) {
+            channel.close();
+            onStopped.run();
+        } else {
+            loop.schedule(() -> closeOnceAnswered(sinceTurn, onStopped), STOP_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean mayServe() {
+        return shutdown == null || ledger.earliestArrivalAt() <= shutdown.serveUntilMicros();
     }
 
     private final class DatagramHandler extends SimpleChannelInboundHandler<DatagramPacket> {
 
+        private int packetsInRead;
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket datagram) {
+            packetsInRead++;
+            lastReceiveTurn = ledger.turnNumber();
             receiveDatagram(datagram.sender(), ByteBufUtil.getBytes(datagram.content()));
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            receiveBufferEmptied = packetsInRead < MAX_PACKETS_PER_READ;
+            packetsInRead = 0;
+        }
+
         /** A failure on one datagram must not close the port. */
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
@@ -180,17 +245,28 @@
                 : 31L * Arrays.hashCode(state != null ? state : request.authenticator()) + Arrays.hashCode(address);
         String className = isAccounting ? classes.accounting : isConversation ? classes.conversation : classes.access;
         ResponseSender responseSender = new ResponseSender(result.entry(), client, key);
+        if (!mayServe()) {
+            dropCounters.recordDrop(DropCounters.Cause.STOPPING, from, "a new request while the gateway stops");
+            responseSender.sendFailure(false);
+            return;
+        }
         Pool pool = router.selectPool(className, client.tenant(), key);
         if (pool == null) {
             dropCounters.recordDrop(DropCounters.Cause.NO_ROUTE, from, "no route for " + className);
             responseSender.sendFailure(false);
             return;
         }
-        ledger.accept(pool, responseSender, new RadiusRequestMessage(request, client.authenticators(),
+        long timeoutMicros = isAccounting ? classes.accountingTimeoutMicros : classes.accessTimeoutMicros;
+        responseSender.accept(pool, new RadiusRequestMessage(request, client.authenticators(),
                 conversation == null ? null : conversation.uid()), new RequestAttributes(className, client.tenant(), key,
-                (isAccounting ? classes.accountingTimeoutMicros : classes.accessTimeoutMicros)
-                        - (ledger.now() - ledger.earliestArrivalAt()), false, isAccounting, 0,
-                zoneByAddress.apply(from.getAddress()), isAccounting ? key : null));
+                timeLeftMicros(timeoutMicros), false, isAccounting, 0, zoneByAddress.apply(from.getAddress()),
+                isAccounting ? key : null));
+    }
+
+    /** The time left for a request that is being received, which is bounded by the shutdown, too. */
+    private long timeLeftMicros(long timeoutMicros) {
+        long timeLeftMicros = timeoutMicros - (ledger.now() - ledger.earliestArrivalAt());
+        return shutdown == null ? timeLeftMicros : Math.min(timeLeftMicros, shutdown.answerByMicros() - ledger.now());
     }
 
     /**
@@ -215,7 +291,9 @@
             dropCounters.recordDrop(DropCounters.Cause.PORT_CLOSED, to, "an answer that came after the port was closed");
             return;
         }
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to), channel.voidPromise());
+        unsentPackets++;
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
+                .addListener((ChannelFutureListener) sent -> unsentPackets--);
     }
 
     /** Sends the final response of a request to every packet that waits for it. */
@@ -224,6 +302,7 @@
         private final DuplicateCache.Entry entry;
         private final RadiusClients.Client client;
         private final long key;
+        private Exchange exchange;  // null before the request is accepted, and if it was answered at once
 
         ResponseSender(DuplicateCache.Entry entry, RadiusClients.Client client, long key) {
             this.entry = entry;
@@ -231,8 +310,21 @@
             this.key = key;
         }
 
+        void accept(Pool pool, RadiusRequestMessage message, RequestAttributes attributes) {
+            openRequests.add(this);
+            exchange = ledger.accept(pool, this, message, attributes);
+        }
+
+        /** Ends the request now, as if its time were up. */
+        void timeOut() {
+            if (exchange != null) {
+                exchange.timeOut();
+            }
+        }
+
         @Override
         public void sendResponse(ResponseMessage answer) {
+            openRequests.remove(this);
             RadiusResponseMessage response = (RadiusResponseMessage) answer;
             if (response.code() == Code.ACCESS_CHALLENGE) {
                 response.attributes().stream().filter(a -> a.type() == Attribute.STATE)
@@ -267,12 +359,14 @@
         /** No response is sent; a retransmission is treated as a new request. */
         @Override
         public void sendRefusal(long retryAfter) {
+            openRequests.remove(this);
             duplicateCache.recordNoResponse(entry);
         }
 
         /** As for a refused request: no response, and a retransmission is treated as a new request. */
         @Override
         public void sendFailure(boolean late) {
+            openRequests.remove(this);
             duplicateCache.recordNoResponse(entry);
         }
     }
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -36,6 +36,7 @@
 import mastdrift.config.PoolSettings;
 import mastdrift.config.RadiusSettings;
 import mastdrift.engine.Clock;
+import mastdrift.engine.Front;
 import mastdrift.engine.RequestTracker;
 import mastdrift.engine.Member;
 import mastdrift.engine.Pool;
@@ -528,11 +529,11 @@
      */
     public boolean stop(long seconds) throws InterruptedException {
         watcher.close();
-        CountDownLatch answered = new CountDownLatch(1);
-        loop.execute(() -> {
-            radiusFronts.forEach(RadiusFront::close);  // RADIUS clients retransmit to whichever gateway still answers
-            httpFront.stop(Math.max(0, TimeUnit.SECONDS.toMicros(seconds) - STOP_RESERVE_MICROS), answered::countDown);
-        });
+        List<Front> fronts = new ArrayList<>(radiusFronts);
+        fronts.add(httpFront);
+        CountDownLatch answered = new CountDownLatch(fronts.size());
+        long maxDeadlineMicros = Math.max(0, TimeUnit.SECONDS.toMicros(seconds) - STOP_RESERVE_MICROS);
+        loop.execute(() -> fronts.forEach(front -> front.stop(maxDeadlineMicros, answered::countDown)));
         boolean allAnswered = answered.await(seconds, TimeUnit.SECONDS);
         close();
         return allAnswered;
