Keep the zones of a pool that is put back before the end of the one taken out

Cause: a pool that a reload takes out ends a second later, or when no key is pinned to it any more, and its part in zones with it, by name. Where the file had named it again meanwhile, that ended the part of the new pool: it took no further change of [zones] (classes that may exceed budgets, the time until they may not).

Change: the end of a pool that has been put back ends nothing, since what is known by its name belongs to the new one.

Measured: poolThatIsPutBackFollowsChangesOfZones failed before (refused for 30 s where the other zone should have served). crossingIsCountedWhenItsPoolWasTakenOut holds without a change: counts belong to the attempts. ZoneServiceTest, ServiceTest, RadiusShutdownTest, RadiusServiceTest: no failure.

--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -463,13 +463,16 @@
     }
 
     private void removeWhenUnpinned(String name, PoolEntry entry) {
-        if (pools.get(name) == entry && router.hasPinTo(clock.now(), name)) {
+        if (pools.get(name) != entry) {
+            return;  // put back meanwhile: what is known by the name belongs to the new pool
+        }
+        if (router.hasPinTo(clock.now(), name)) {
             loop.schedule(() -> removeWhenUnpinned(name, entry), RETIRE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            pools.remove(name, entry);
-            if (zones != null) {
-                zones.poolClosed(name);
-            }
+            return;
+        }
+        pools.remove(name);
+        if (zones != null) {
+            zones.poolClosed(name);
         }
     }
 
--- a/src/test/java/mastdrift/serve/RadiusShutdownTest.java
+++ b/src/test/java/mastdrift/serve/RadiusShutdownTest.java
@@ -240,9 +240,14 @@
         assertTrue(stopGateway(STOP_SECONDS).get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
         assertNotNull(receive(ANSWER_TIMEOUT_MILLIS));
         rig.start();
+        assertEquals(List.of(server.bytesIn(), server.bytesOut()), crossedBytes());
+    }
+
+    /** Bytes sent and received that crossed zones, as the gateway counts them. */
+    private List<Long> crossedBytes() {
         FlowCounts crossed = new FlowCounts();
         rig.service.zoneSnapshot().flows().values().forEach(crossed::add);
-        assertEquals(List.of(server.bytesIn(), server.bytesOut()), List.of(crossed.bytesSent(), crossed.bytesReceived()));
+        return List.of(crossed.bytesSent(), crossed.bytesReceived());
     }
 
     /** A reload takes the pool away while a request of it is in progress: its answer is passed on. */
@@ -258,6 +263,20 @@
         assertEquals(2, answer.identifier());
     }
 
+    /** What crosses zones is counted though its pool was taken out, and forgotten by routing, a second or more ago. */
+    @Test
+    void crossingIsCountedWhenItsPoolWasTakenOut() throws Exception {
+        rig.save("cards.toml", GatewayFiles.list(List.of(node("one", "oviedo"))));
+        start("[zones]\n");
+        server.work(LONG_WORK_MICROS);
+        sendToServer(request(Kind.ACCOUNTING, 2));
+        rig.gateway(CLASSES_AND_LISTENER + POOL.replace("cards", "other") + routes("other") + "[zones]\n");
+        rig.awaitLog("changed pools [other]");
+        assertNotNull(receiveAnswer(2));
+        rig.await(() -> crossedBytes().equals(List.of(server.bytesIn(), server.bytesOut())),
+                "the server's bytes are counted");
+    }
+
     /** A reload can't take a listener away: it is refused, and the listener serves on. */
     @Test
     void listenerCannotBeTakenOutByAReload() throws Exception {
--- a/src/test/java/mastdrift/serve/ZoneServiceTest.java
+++ b/src/test/java/mastdrift/serve/ZoneServiceTest.java
@@ -316,6 +316,27 @@
         rig.awaitLog("[zones]: expected the table, or none");
     }
 
+    /**
+     * Guards against a pool that is taken out and put back within a second losing its part in zones: the end of the one
+     * that was taken out ended that of the new one, which then heard of no changed setting.
+     */
+    @Test
+    void poolThatIsPutBackFollowsChangesOfZones() throws Exception {
+        String other = "[pool.other]\nnodes = [\"main.toml\"]\n" + GUARDS_OFF;
+        String zones = "[zones]\ncalm = \"1s\"\n" + ZERO_BUDGET;
+        startGateway(zones);
+        rig.gateway(other + zones);
+        rig.awaitLog("in force: [other");
+        rig.gateway(POOL + zones);
+        rig.await(() -> rig.log().split("in force: \\[main", -1).length == 3, "the pool is back");
+        long backAtNanos = System.nanoTime();
+        rig.await(() -> System.nanoTime() - backAtNanos > TimeUnit.MILLISECONDS.toNanos(1_500), "the former pool has ended");
+        rig.gateway(POOL + zones.replace("[zones]\n", "[zones]\ngive_way = [\"session-start\", \"session-read\"]\n"));
+        rig.await(() -> rig.log().split("in force: \\[main", -1).length == 4, "budgets may be exceeded");
+        writeNodes("state = \"drain\"\n", "");
+        rig.await(() -> countStatuses(1, null)[200] == 1 && c.served() > 0, "the other zone serves");
+    }
+
     /**
      * Two gateways with one shared folder: the idle one leaves its part of the budget to the busy one, and together
      * they don't exceed the budget.
