Test that changes at a control machine that stops have their outcome, once

A control machine that stops closes its links with changes pending whose outcome it doesn't know. By reading that is sound: its client takes the end of the connection for 'unknown' and asks another voter under the same id. No test forced it; the processes' test kills the leader.

Change: changesThatAreOutWhenAVoterStopsAreAppliedOnce stops and restarts three voters one after the other under 80 changes of eight writers: each is told as applied, and the revision says 80. Held, nothing mended.

--- a/src/test/java/mastdrift/serve/ControlMachineTest.java
+++ b/src/test/java/mastdrift/serve/ControlMachineTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -34,6 +35,7 @@
 class ControlMachineTest {
 
     private static final int WAIT_SECONDS = 30;
+    private static final int CHANGES_DURING_STOPS = 80;
 
     @TempDir
     private Path folder;
@@ -143,6 +145,31 @@
         }
     }
 
+    /**
+     * Voters stop, one after the other, while changes are out at them: each writer hears the outcome of its change, which
+     * another voter gives it where the one that it asked has stopped, and each change is applied once.
+     */
+    @Test
+    void changesThatAreOutWhenAVoterStopsAreAppliedOnce() throws Exception {
+        CompletableFuture<Void> writers = CompletableFuture.runAsync(() -> {
+            try {
+                apply(0, CHANGES_DURING_STOPS);
+            } catch (Exception e) {
+                throw new CompletionException(e);
+            }
+        });
+        try (ControlClient client = client()) {
+            for (String name : List.of("c1", "c2", "c3")) {
+                machines.remove(name).close();
+                start(name);
+                await(client, name, 1);  // it takes part again
+            }
+            writers.get(2 * WAIT_SECONDS, TimeUnit.SECONDS);
+            await(client, CHANGES_DURING_STOPS);
+            assertEquals(CHANGES_DURING_STOPS, revisionNumber(client, "c3"));
+        }
+    }
+
     /**
      * A voter that can't write its copy reports it and continues from memory: its vote rests on its log, which is on a
      * disk that it can write.
