--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -63,7 +63,7 @@
 /**
  * The HTTP/1.1 server that clients connect to: accepts connections, decodes and validates requests, hands them to the
  * {@link RequestTracker} and writes the final responses. It bounds the number of connections and the time that each may spend
- * in a {@link Phase}.
+ * in a {@link ConnectionPhase}.
  */
 public final class HttpFront implements Front {
 
