--- a/src/main/java/mastdrift/lab/rig/Chaos.java
+++ b/src/main/java/mastdrift/lab/rig/Chaos.java
@@ -244,7 +244,7 @@
     }
 
     private void awaitStarts(Step step) throws InterruptedException {
-        long since = history.now();
+        long since = servesAt + step.at() + held;  // this thread may have woken later than that
         standsAt = step.at();
         for (int number : step.started()) {
             if (gateways.get(number).alive()) {  // one that is down again, or crashed, is the judge's
--- a/src/test/java/mastdrift/lab/rig/JudgeTest.java
+++ b/src/test/java/mastdrift/lab/rig/JudgeTest.java
@@ -87,6 +87,22 @@
         }));
     }
 
+    /** One that is told to end may take longer than was planned, so that the run ends as it starts again: it owes nothing until then and a while after. */
+    @Test
+    void ends() {
+        List<Fault> restarted = List.of(new Fault(Kind.RESTART, 3 * SECOND, 4 * SECOND, List.of(1), 0));
+        assertEquals(List.of(), broken(restarted, history -> slowEnd(history, 13)));
+        assertEquals(List.of("each request gets one final answer"), broken(restarted, history -> slowEnd(history, 22)));
+    }
+
+    /** g1 is told to end at 4 s and is started again at 14 s. */
+    private static void slowEnd(History history, int asked) {
+        history.add(14 * SECOND, "g1", "started", "pid", 7);
+        history.add(14 * SECOND, "g1", "peer_joined", "peer", "g0", "by", "g0");
+        history.add(14 * SECOND, "g1", "peer_joined", "peer", "g2", "by", "g2");
+        asked(history, asked * SECOND, 1, 0, "", 100);
+    }
+
     /** g1 is started at 5 s, knows the others at once, and serves only later; what is asked of it meanwhile fails. */
     private static void slow(History history, int serves, int asked) {
         history.add(5 * SECOND, "g1", "started", "pid", 7);
