Let silent connections of vanished gateways make room for other gateways

One whose machine vanished without a word keeps its place for good, so a fleet whose gateways are replaced under new names ran out of places. Connections that a gateway opens itself have always made room (the one unused for the longest). A gateway that is there opens another with its next message; users of the links tolerate that loss by their contract. Measured: connectionsThatAreSilentMakeRoomForAnotherPeer fails before (refused for 10 s), not now; connectionsInUseDoNotMakeRoomForAnotherPeer holds before and now. PeerLinksTest, PeerLinksReplyTest: no failure.

--- a/src/main/java/mastdrift/peers/edge/PeerLinks.java
+++ b/src/main/java/mastdrift/peers/edge/PeerLinks.java
@@ -60,7 +60,8 @@
  * the same: one direction may be cut alone. Time in which this process was paused isn't held against the others.
  *
  * <p>A message to a gateway that can't be reached is dropped, and {@link #send} reports it where it is known; callers
- * must tolerate the loss of any message. Bounds: connections in each direction; connections that are not yet
+ * must tolerate the loss of any message. Bounds: connections in each direction, beyond which one that is unused or
+ * silent makes room; connections that are not yet
  * authenticated ({@value #MIN_UNAUTHENTICATED_LIMIT}, or an eighth of the maximum of connections, for {@value
  * #HANDSHAKE_TIMEOUT_MILLIS} ms at most; beyond that the oldest makes room); the size of a message ({@value #MAX_MESSAGE_BYTES} bytes); messages read per second
  * from one gateway ({@value #MAX_MESSAGES_PER_SECOND}; reading pauses beyond that); bytes that wait for a slow reader
@@ -371,6 +372,26 @@
         return link;
     }
 
+    /**
+     * Closes the connection, of those that other gateways opened, from which nothing was received for the longest time,
+     * to make room for another. The gateway behind it may have vanished without a word; one that is there opens another
+     * connection with its next message. Returns false if something was received from each a short time ago.
+     */
+    private boolean closeSilentInbound() {
+        Inbound silent = null;
+        for (Inbound each : inbound.values()) {
+            silent = silent == null || each.lastHeardMillis < silent.lastHeardMillis ? each : silent;
+        }
+        long silentMillis = silent == null ? 0 : nowMillis() - silent.lastHeardMillis;
+        if (silentMillis < SILENCE_TIMEOUT_MILLIS) {
+            return false;
+        }
+        refuse("peer_too_many", silent.peerName, "closed to make room for another gateway, silent for " + silentMillis + " ms");
+        silent.unregister();
+        silent.channel.close();
+        return true;
+    }
+
     /** Closes connections without progress; runs every {@value #SWEEP_INTERVAL_MILLIS} ms. */
     void sweep() {
         long nowMillis = nowMillis();
@@ -378,8 +399,7 @@
         sweptAtMillis = nowMillis;
         if (lateMillis > MIN_PAUSE_MILLIS) {  // messages that arrived during the pause may still be unread
             outbound.values().forEach(each -> each.compensateForPause(nowMillis, lateMillis));
-            inbound.values().forEach(each ->
-                    each.progressAtMillis = Math.min(nowMillis, each.progressAtMillis + lateMillis));
+            inbound.values().forEach(each -> each.compensateForPause(nowMillis, lateMillis));
         }
         List.copyOf(outbound.values()).forEach(each -> each.sweep(nowMillis));
         List.copyOf(inbound.values()).forEach(each -> each.sweep(nowMillis));
@@ -605,6 +625,7 @@
         private long sequence;
         private long ackedSequence;
         private boolean ackScheduled;
+        private long lastHeardMillis = nowMillis();
         private final RateLimiter rateLimiter = new RateLimiter();
         private long repliesSent;
         private long repliesAcked;
@@ -638,6 +659,7 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             byte type = frame.readableBytes() > 0 ? frame.readByte() : 0;
             byte[] body = ByteBufUtil.getBytes(frame);
+            lastHeardMillis = nowMillis();
             if (peerName == null) {
                 handleHello(type, body);
             } else if (type == REPLY_ACK && body.length == Long.BYTES + MessageAuthenticator.SIGNATURE_BYTES) {
@@ -702,6 +724,12 @@
             return true;
         }
 
+        /** Doesn't count a pause of this process as silence of the other end. */
+        void compensateForPause(long nowMillis, long pauseMillis) {
+            progressAtMillis = Math.min(nowMillis, progressAtMillis + pauseMillis);
+            lastHeardMillis = Math.min(nowMillis, lastHeardMillis + pauseMillis);
+        }
+
         /**
          * A large reply on a slow connection is acknowledged late, but its bytes drain: if fewer bytes wait than waited
          * before plus those written since, there is progress.
@@ -765,7 +793,7 @@
                         + " addressing " + recipient);
                 return;
             }
-            if (inbound.size() >= maxConnections && !inbound.containsKey(name)) {
+            if (inbound.size() >= maxConnections && !inbound.containsKey(name) && !closeSilentInbound()) {
                 refuseAndClose("peer_too_many", "expected at most " + maxConnections + " gateways, found " + name
                         + " beside them");
                 return;
--- a/src/test/java/mastdrift/peers/edge/PeerLinksTest.java
+++ b/src/test/java/mastdrift/peers/edge/PeerLinksTest.java
@@ -35,6 +35,7 @@
     private static final int MAX_WAIT_SECONDS = 30;
     private static final byte[] KEY = "one key".getBytes(StandardCharsets.UTF_8);
     private static final byte[] NEXT_KEY = "the next key".getBytes(StandardCharsets.UTF_8);
+    private static final int MAX_CONNECTIONS = 8;
     // Netty itself pauses for a second after a failed accept.
     private static final long MAX_ACCEPT_MILLIS = 500;
 
@@ -52,7 +53,7 @@
         }
 
         TestPeer(String installation, String name, Supplier<? extends ServerChannel> listener, byte[]... keys) {
-            links = new PeerLinks(loop, installation, name, 8, this);
+            links = new PeerLinks(loop, installation, name, MAX_CONNECTIONS, this);
             loop.submit(() -> {
                 links.setGeneration(name.hashCode() & 0xFF);
                 links.setKeys(List.of(keys));
@@ -249,6 +250,46 @@
         }
     }
 
+    /**
+     * Guards against connections of gateways that have vanished without a word and hold every place: the gateways that
+     * came in their stead were refused for good.
+     */
+    @Test
+    void connectionsThatAreSilentMakeRoomForAnotherPeer() throws Exception {
+        TestPeer b = new TestPeer("norte", "b", KEY);
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            TestPeer earlier = new TestPeer("norte", "earlier" + i, KEY);
+            earlier.setAddress("b", b.links.address());
+            assertTrue(sendUntilReceived(earlier, "b", b, "x").startsWith("earlier" + i));
+        }
+        TestPeer a = new TestPeer("norte", "a", KEY);
+        a.setAddress("b", b.links.address());
+        assertEquals("a 7 through", sendUntilReceived(a, "b", b, "through"));
+    }
+
+    /** Connections on which messages arrive keep their places: who comes beside them is refused. */
+    @Test
+    void connectionsInUseDoNotMakeRoomForAnotherPeer() throws Exception {
+        TestPeer b = new TestPeer("norte", "b", KEY);
+        List<TestPeer> earlier = new ArrayList<>();
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            earlier.add(new TestPeer("norte", "earlier" + i, KEY));
+            earlier.get(i).setAddress("b", b.links.address());
+            assertTrue(sendUntilReceived(earlier.get(i), "b", b, "x").startsWith("earlier" + i));
+        }
+        TestPeer a = new TestPeer("norte", "a", KEY);
+        a.setAddress("b", b.links.address());
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * PeerLinks.SILENCE_TIMEOUT_MILLIS);
+        while (System.nanoTime() < deadlineNanos) {
+            earlier.forEach(each -> each.send("b", "x"));
+            a.send("b", "beside them");
+            Thread.sleep(50);
+        }
+        assertTrue(b.refusals.contains("peer_too_many"));
+        assertTrue(b.received.stream().noneMatch(message -> message.startsWith("a ")), b.received.toString());
+        assertTrue(earlier.stream().allMatch(each -> each.closedOutbound.get() == 0), "no connection in use was closed");
+    }
+
     /** A listener whose next accepts fail; waiting connections stay in the listen backlog. */
     private static final class FailingListener extends NioServerSocketChannel {
 
