EndedWatchTest: keep the registry's watches alive until the test ends them

Cause: the registry of this test says nothing behind its list, where a real one sends an empty line every 2 s (PROTOCOL). A gateway gives a watch up after 2.5 s of silence, and on a slow machine its start takes longer. Then the test closed the watch that had been given up, and took the call that stood there already for the one behind the end: 'Broken pipe', or requests at the drained server, since no watch had ended. Change: watches that were answered get an empty line each 0.5 s. The bound and what is checked stay.

--- a/src/test/java/mastdrift/net/EndedWatchTest.java
+++ b/src/test/java/mastdrift/net/EndedWatchTest.java
@@ -25,6 +25,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import mastdrift.net.Loopback.Message;
 import mastdrift.net.Loopback.Server;
@@ -55,6 +57,8 @@
     private static final long SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RESPONSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_900);
     private static final int REQUEST_TIMEOUT_MILLIS = 1_000;
+    // A watch that says nothing for 2.5 s is given up, and a gateway may take longer than that to start.
+    private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
     private static final String GATEWAY_SETTINGS = SETTINGS.replace("\"must_ask_in\":1000000",
             "\"must_ask_in\":10000000");
 
@@ -65,6 +69,7 @@
     private final List<String> logs = new CopyOnWriteArrayList<>();
     private final Set<String> requestsAtDrained = ConcurrentHashMap.newKeySet();
     private final List<Server> servers = new ArrayList<>();
+    private final ScheduledExecutorService heartbeats = Executors.newScheduledThreadPool(1);
     private Server drained;
     private Server other;
 
@@ -93,9 +98,10 @@
         for (Server server : servers) {
             server.close();
         }
+        heartbeats.shutdownNow();
     }
 
-    /** The registry of one gateway: provides the calls, and answers none by itself. */
+    /** The registry of one gateway: provides the calls, answers none by itself, and keeps a watch that was answered alive. */
     private final class Registry {
         private final BlockingQueue<Message> calls = new ArrayBlockingQueue<>(16);
         private final Server server;
@@ -119,6 +125,17 @@
         void respond(Socket watch, String list) throws IOException {
             write(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             sendLine(watch, list);
+            heartbeats.scheduleWithFixedDelay(() -> sendHeartbeat(watch), HEARTBEAT_INTERVAL_MILLIS, HEARTBEAT_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** An empty line, unless the watch has ended. */
+    private static void sendHeartbeat(Socket watch) {
+        try {
+            sendLine(watch, "");
+        } catch (IOException e) {
+            return;  // the watch has ended
         }
     }
 
