Hear SIGTERM in serve from before the first listener opens

What callers saw: a request that came as a gateway from files began to listen, and a SIGTERM behind it, before the start was over (RADIUS ports, other gateways, the agreed log): the process ended at once with status 143, and the request had no answer. Likewise where a later address couldn't be used: what the open listeners had taken was closed. Change: Service.prepare does what needs no client, open opens the listeners; the handler comes between the two. A stop that begins meanwhile leaves out what is not open yet. HTTP is opened last, so that /ready stands for every protocol. A start that fails with a port open stops like any other. RadiusFront knows its channel before the first datagram. RADIUS, service, peers, distribution processes, architecture: no failure.

--- a/src/main/java/mastdrift/cli/Commands.java
+++ b/src/main/java/mastdrift/cli/Commands.java
@@ -90,28 +90,50 @@
                 return EXIT_USAGE;
             }
             try {
-                service = Service.start(config, log.events(), !skipWarmUp);
+                service = Service.prepare(config, log.events(), !skipWarmUp);
             } catch (IllegalArgumentException e) {
                 log.close();
                 spec.commandLine().getErr().println(e.getMessage());
                 return EXIT_REFUSED;
             }
             CountDownLatch stopped = new CountDownLatch(1);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    boolean allAnswered = service.stop(STOP_TIMEOUT_SECONDS);
-                    log.events().event(allAnswered ? Events.Level.INFO : Events.Level.WARN, "stopped",
-                            allAnswered ? "stopped" : "stopped with requests unanswered");
+            Thread stopper = new Thread(() -> stop(service, log, stopped));
+            // before the first client connects: a SIGTERM in between would end the process with requests unanswered
+            Runtime.getRuntime().addShutdownHook(stopper);
+            try {
+                service.open();
+            } catch (IllegalArgumentException e) {
+                if (removeShutdownHook(stopper)) {
                     log.close();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
+                    spec.commandLine().getErr().println(e.getMessage());
+                    return EXIT_REFUSED;
                 }
-                stopped.countDown();
-                Runtime.getRuntime().halt(0);
-            }));
+            }
             stopped.await();
             return 0;
         }
+
+        private static void stop(Service service, LogSetup log, CountDownLatch stopped) {
+            try {
+                boolean allAnswered = service.stop(STOP_TIMEOUT_SECONDS);
+                log.events().event(allAnswered ? Events.Level.INFO : Events.Level.WARN, "stopped",
+                        allAnswered ? "stopped" : "stopped with requests unanswered");
+                log.close();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            stopped.countDown();
+            Runtime.getRuntime().halt(0);
+        }
+
+        /** Returns false if the process is being shut down already. */
+        private static boolean removeShutdownHook(Thread hook) {
+            try {
+                return Runtime.getRuntime().removeShutdownHook(hook);
+            } catch (IllegalStateException e) {
+                return false;
+            }
+        }
     }
 
     /** {@code check}: validates the configuration file of a gateway or control machine. */
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -87,7 +87,7 @@
     private Function<InetAddress, String> zoneByAddress = address -> "";
     private final Set<ResponseSender> openRequests = new LinkedHashSet<>();  // have no final answer yet
     private int unsentPackets;
-    private Channel channel;  // null before the port is bound
+    private volatile Channel channel;  // set before the port is bound
     private ShutdownSchedule shutdown;  // null before the shutdown
     private long lastReceiveTurn;
     private boolean receiveBufferEmptied = true;  // whether the last read of the port emptied its receive buffer
@@ -106,13 +106,11 @@
 
     /** Binds the port; the returned future tells whether that succeeded. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bindFuture = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+        return new Bootstrap().group(loop).channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Packet.MAX_BYTES + 1)
                         .maxMessagesPerRead(MAX_PACKETS_PER_READ))
                 .handler(new DatagramHandler()).bind(address);
-        channel = bindFuture.channel();
-        return bindFuture;
     }
 
     /** Sets the function that gives the zone of a client's address, which is passed on with each request. */
@@ -171,6 +169,11 @@
 
         private int packetsInRead;
 
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket datagram) {
             packetsInRead++;
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -74,6 +74,7 @@
     // Part of a stop's time that is kept for the last answers, which are sent 0.4 s after the time that requests are
     // given, and for their transmission.
     private static final long STOP_RESERVE_MICROS = 1_000_000;
+    private static final long FAILED_START_STOP_SECONDS = 30;
     // Memory for the answers that a listener keeps for retransmitted requests: bytes for each answer that may be kept.
     private static final int KEPT_ANSWER_BYTES = 256;
 
@@ -113,6 +114,9 @@
     private final Control control = new Control(new ControlListener(), clock::now);
     private final FileWatcher watcher;
     private final Secrets secrets;
+    private final Object lifecycle = new Object();
+    private boolean stopping;  // guarded by lifecycle
+    private boolean clientsCanConnect;  // used by the thread that opens the listeners
     private Configuration initialConfiguration;
     private ZoneService zones;  // null if traffic across zones is neither counted nor bounded
     private PeerService peers;  // null if no other gateways are configured
@@ -160,6 +164,16 @@
      * a second.
      */
     public static Service start(Path file, Events events, boolean warmUp) {
+        Service service = prepare(file, events, warmUp);
+        service.open();
+        return service;
+    }
+
+    /**
+     * As {@link #start}, but nobody can connect before {@link #open} is called: what has to happen before the first
+     * request is taken, such as the handling of signals, comes between the two.
+     */
+    public static Service prepare(Path file, Events events, boolean warmUp) {
         Service service = new Service(file, events);
         try {
             List<String> problems = service.watcher.readInitial();
@@ -172,9 +186,6 @@
             if (service.distribution != null) {
                 service.distribution.awaitReady();
             }
-            service.listen();
-            service.startPeers();
-            service.watcher.start();
             return service;
         } catch (IllegalArgumentException e) {
             service.close();
@@ -186,6 +197,48 @@
         }
     }
 
+    /**
+     * Opens all listeners, that of HTTP last: a gateway that answers {@code /ready} serves every protocol. A shutdown
+     * that begins meanwhile leaves out what is not open yet. Throws IllegalArgumentException if an address can't be
+     * used, after a shutdown that answers what was taken by then.
+     */
+    public void open() {
+        try {
+            unlessStopping(this::listenForPeers);
+            for (int i = 0; i < radiusFronts.size(); i++) {
+                int number = i;
+                unlessStopping(() -> listenForRadius(number));
+            }
+            unlessStopping(this::listenForHttp);
+            unlessStopping(this::startAgreedLog);
+            unlessStopping(watcher::start);
+        } catch (IllegalArgumentException e) {
+            closeFailedStart();
+            throw e;
+        }
+    }
+
+    private void unlessStopping(Runnable step) {
+        synchronized (lifecycle) {
+            if (!stopping) {
+                step.run();
+            }
+        }
+    }
+
+    private void closeFailedStart() {
+        if (!clientsCanConnect) {
+            close();
+            return;
+        }
+        try {
+            stop(FAILED_START_STOP_SECONDS);
+        } catch (InterruptedException e) {
+            close();
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Warms up the HTTP path on an event loop of its own, with one pool of stand-in hosts, by the settings of the first
      * HTTP pool.
@@ -212,21 +265,28 @@
                 warmUpEventLoop, this::log);
     }
 
-    private void listen() {
+    private void listenForPeers() {
+        if (peers != null) {
+            peers.listen();
+        }
+    }
+
+    private void listenForRadius(int number) {
+        String address = radiusListeners.get(number).listen();
+        RadiusFront front = radiusFronts.get(number);
+        awaitBound(address, front.listen(Addresses.parse(address)));
+        clientsCanConnect = true;
+        events.event(Level.INFO, "listening", "listening for RADIUS on " + front.address(), "protocol", "radius", "address",
+                front.address());
+    }
+
+    private void listenForHttp() {
         awaitBound(gateway.listen(), httpFront.listen(Addresses.parse(gateway.listen())));
+        clientsCanConnect = true;
         events.event(Level.INFO, "listening", "listening on " + httpFront.address(), "protocol", "http", "address", httpFront.address());
-        for (int i = 0; i < radiusFronts.size(); i++) {
-            awaitBound(radiusListeners.get(i).listen(),
-                    radiusFronts.get(i).listen(Addresses.parse(radiusListeners.get(i).listen())));
-            events.event(Level.INFO, "listening", "listening for RADIUS on " + radiusFronts.get(i).address(), "protocol", "radius",
-                    "address", radiusFronts.get(i).address());
-        }
     }
 
-    private void startPeers() {
-        if (peers != null) {
-            peers.listen();
-        }
+    private void startAgreedLog() {
         if (initialConfiguration.agreed() != null) {
             agreed = new AgreedService(file, initialConfiguration, peers, events);
         }
@@ -531,6 +591,9 @@
      * if {@code seconds} is 1) are answered then. Returns whether all were answered.
      */
     public boolean stop(long seconds) throws InterruptedException {
+        synchronized (lifecycle) {
+            stopping = true;
+        }
         watcher.close();
         List<Front> fronts = new ArrayList<>(radiusFronts);
         fronts.add(httpFront);
--- a/src/test/java/mastdrift/serve/RadiusShutdownTest.java
+++ b/src/test/java/mastdrift/serve/RadiusShutdownTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -19,6 +21,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import mastdrift.radius.Attribute;
 import mastdrift.radius.Authenticators;
@@ -218,6 +221,25 @@
         assertTrue(stopped.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** A start that fails once a port was open answers what was taken there by then. */
+    @Test
+    void requestThatAFailingStartHasTakenIsAnswered() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket usedByAnother = new ServerSocket(0, 1, loopback)) {
+            try (DatagramSocket free = new DatagramSocket(0, loopback)) {
+                gateway = new InetSocketAddress(loopback, free.getLocalPort());
+            }
+            rig.save("gateway.toml", Rig.GATEWAY_HEAD.replace("listen = \"127.0.0.1:0\"", "listen = \"127.0.0.1:" + usedByAnother.getLocalPort() + "\"")
+                    + CLASSES_AND_LISTENER.replace("127.0.0.1:0", "127.0.0.1:" + gateway.getPort()) + POOL + ROUTES + "# end\n");
+            server.work(WORK_MICROS);
+            CompletableFuture<Void> start = CompletableFuture.runAsync(rig::start);
+            sendToServer(request(Kind.ACCESS, 2));
+            assertNotNull(receiveAnswer(2));
+            ExecutionException failure = assertThrows(ExecutionException.class, () -> start.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
+            assertTrue(failure.getCause().getMessage().contains("no listening on"), failure.toString());
+        }
+    }
+
     /** A request that no server answers ends, without a response, in time for the process to end. */
     @Test
     void stopEndsRequestsThatNobodyAnswers() throws Exception {
