Don't answer a Status-Server once a stopping gateway drops new RADIUS requests

In a stop new requests are dropped after 1.5 s, so that their chargers turn to another gateway, but a Status-Server, by which chargers ask whether a server takes requests, was accepted until the port closed (up to 30 s later). /ready over HTTP says 503 from the begin of a stop. Change: it is dropped (STOPPING) from when new requests are. Measured: statusServerIsAnsweredAtTheBeginOfAStopAlone fails before, and not now.

--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -213,14 +213,25 @@
         } else if (!client.authenticators().verifyRequest(request, client.requiresMessageAuthenticator())) {
             dropCounters.recordDrop(DropCounters.Cause.NOT_SIGNED, from, "an authenticator is wrong or missing");
         } else if (request.code() == Code.STATUS_SERVER) {
-            // RFC 5997, 3: a Status-Server is answered by its receiver and never forwarded.
-            send(from, client.authenticators().signResponse(buildResponse(Code.ACCESS_ACCEPT, request, List.of()),
-                    request.authenticator(), true).encode());
+            answerStatusServer(from, client, request);
         } else {
             handleRequest(from, client, request);
         }
     }
 
+    /**
+     * RFC 5997, 3: a Status-Server is answered by its receiver and never forwarded. One that takes no new requests any
+     * more gives no answer, so that its client turns to another.
+     */
+    private void answerStatusServer(InetSocketAddress from, RadiusClients.Client client, Packet request) {
+        if (!mayServe()) {
+            dropCounters.recordDrop(DropCounters.Cause.STOPPING, from, "a Status-Server while the gateway stops");
+            return;
+        }
+        send(from, client.authenticators().signResponse(buildResponse(Code.ACCESS_ACCEPT, request, List.of()),
+                request.authenticator(), true).encode());
+    }
+
     private void handleRequest(InetSocketAddress from, RadiusClients.Client client, Packet request) {
         LookupResult result = duplicateCache.lookUp(ledger.now(),
                 new Source(from.getAddress().getAddress(), from.getPort()), request);
--- a/src/test/java/mastdrift/serve/RadiusShutdownTest.java
+++ b/src/test/java/mastdrift/serve/RadiusShutdownTest.java
@@ -221,6 +221,27 @@
         assertTrue(stopped.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** A Status-Server asks whether requests are taken: it is answered as long as that is so, and no longer. */
+    @Test
+    void statusServerIsAnsweredAtTheBeginOfAStopAlone() throws Exception {
+        start("");
+        server.work(LONG_WORK_MICROS);
+        sendToServer(request(Kind.ACCOUNTING, 2));
+        CompletableFuture<Boolean> stopped = stopGateway(STOP_SECONDS);
+        Packet probe = charger.signRequest(new Packet(Code.STATUS_SERVER, 3, new byte[16], List.of()));
+        rig.await(() -> {
+            try {
+                send(probe);
+                receive(10);
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+            return rig.log().contains("a Status-Server while the gateway stops");
+        }, "a Status-Server is dropped");
+        assertNotNull(receiveAnswer(2));
+        assertTrue(stopped.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
     /** A start that fails once a port was open answers what was taken there by then. */
     @Test
     void requestThatAFailingStartHasTakenIsAnswered() throws Exception {
