Follow the operator's files until a stopping gateway has answered everything

What callers saw: none was reported. Lists from discovery were followed to the end. Change: the watcher closes with everything else, once all is answered.

--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -587,6 +587,7 @@
 
     /**
      * Stops as a gateway does on SIGTERM: serves on for a moment, answers the requests that it has taken, then ends.
+     * Changes of the operator's files and of discovery apply until then, so that no attempt goes to a host that drains.
      * Blocks for at most {@code seconds}, which must be 1 or more; requests that are open 0.6 s before the end (0.45 s
      * if {@code seconds} is 1) are answered then. Returns whether all were answered.
      */
@@ -594,7 +595,6 @@
         synchronized (lifecycle) {
             stopping = true;
         }
-        watcher.close();
         List<Front> fronts = new ArrayList<>(radiusFronts);
         fronts.add(httpFront);
         CountDownLatch answered = new CountDownLatch(fronts.size());
--- a/src/test/java/mastdrift/serve/ServiceTest.java
+++ b/src/test/java/mastdrift/serve/ServiceTest.java
@@ -366,6 +366,37 @@
         }
     }
 
+    /**
+     * Guards against a stop that no longer reads the files: a host that drains meanwhile got what was still served, and
+     * further attempts of what was open.
+     */
+    @Test
+    void drainIsHeededWhileTheGatewayStops() throws Exception {
+        startWithTwoPools();
+        c.work(6_000_000);  // keeps the gateway running
+        try (StandInClient client = rig.client(); StandInClient starter = rig.client()) {
+            rig.await(() -> answeringHost(client, null).equals("a"), "a serves");
+            CompletableFuture<String> start = CompletableFuture.supplyAsync(() -> answeringHost(starter, "k1"));
+            rig.await(() -> c.lastAt() > 0, "the start is in flight at c");
+            CompletableFuture<Boolean> stopped = CompletableFuture.supplyAsync(this::stopGateway);
+            rig.save("main.toml", list(node(a, "bilbao", "weight = 0"), node(b, "bilbao", "")));
+            rig.awaitLog("changed pools [main]");
+            long served = a.served();
+            assertTrue(List.of("b", "0").contains(answeringHost(client, null)), "served by b, or its connection was closed");
+            assertEquals(served, a.served());
+            assertEquals("c", start.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
+            assertTrue(stopped.get(Rig.WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
+    private boolean stopGateway() {
+        try {
+            return rig.service.stop(Rig.WAIT_SECONDS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     // ---- scale
 
     /**
