Spare new connections whose first request is on its way, at the connection limit

Cause: a connection that hadn't sent a byte was the first to be closed for any other, however young. The trial that closed resting ones in its stead let a flood close those in use, and was taken back. Change: phase NEW for the first 0.1 s, which isn't closed to make room; it stays beyond the limit, within the reserve of 16. limits.EvictionPurpose: resting connections make room for a request and not for a mere connection; as a last resort, with the reserve used up, the eldest new one goes. A request on a connection beyond the limit is served if those that aren't new are within it, so that a crowd that never asks doesn't have others refused. SURPLUS is no phase any more.

--- a/src/main/java/mastdrift/limits/ClientConnectionTable.java
+++ b/src/main/java/mastdrift/limits/ClientConnectionTable.java
@@ -14,9 +14,10 @@
  * <p>Each phase has one time bound, so the connections in a phase are kept in the order in which they entered it, and
  * overdue ones are at the head: a check costs what is overdue, not what is open. The connection to close for a new one
  * is taken from the address with the most evictable connections: first those whose clients have stopped in the middle
- * of a request or of reading a response, then those that never sent a request, then the one unused for the longest. So
- * a flood from one address evicts its own connections. Never evicted are a connection with a request in progress, with
- * a response that is still owed, or, but as a last resort, with a partial request whose rest may be on its way.
+ * of a request or of reading a response, then those that never sent a request, then, for a request alone, the one unused
+ * for the longest. So a flood from one address evicts its own connections. Never evicted are a connection with a request
+ * in progress or with a response that is still owed, nor, but as a last resort, one whose first request, or the rest of
+ * one, may be on its way.
  *
  * <p>A connection costs one {@link Entry} (56 bytes with the usual object layout) and nothing else here. Not
  * thread-safe; times are in microseconds of one clock that doesn't go backwards.
@@ -78,11 +79,6 @@
                 entry.newer.older = entry.older;
             }
         }
-
-        /** The oldest other than {@code excluded}; null if there is none. */
-        Entry<C> oldestExcept(Entry<C> excluded) {
-            return oldest != null && oldest == excluded ? oldest.newer : oldest;
-        }
     }
 
     /** A client address and its evictable connections. */
@@ -109,11 +105,11 @@
             };
         }
 
-        /** The first to be closed, other than {@code excluded}; null if there is none. */
-        Entry<C> firstEvictable(Entry<C> excluded) {
+        /** The first to be closed, of the ranks up to the last one given; null if there is none. */
+        Entry<C> firstEvictable(EvictionRank lastRank) {
             for (EvictionRank rank : RANKS) {
-                Entry<C> entry = evictable(rank).oldestExcept(excluded);
-                if (entry != null) {
+                Entry<C> entry = evictable(rank).oldest;
+                if (entry != null || rank == lastRank) {
                     return entry;
                 }
             }
@@ -170,7 +166,7 @@
         Entry<C> entry = new Entry<>(connection, address);
         address.connectionCount++;
         size++;
-        enterPhase(now, entry, ConnectionPhase.SILENT);
+        enterPhase(now, entry, ConnectionPhase.NEW);
         return entry;
     }
 
@@ -247,30 +243,37 @@
     }
 
     /**
-     * The connection to close to make room, or null if none can be closed. It is not {@code newcomer}, a connection
-     * that has sent no request yet; null for no exception.
+     * The connection to close to make room, or null if none can be closed. It is of the address with the most evictable
+     * connections, and never {@code newcomer}, which has just been added; null for no exception.
      */
-    public C evictionCandidate(Entry<C> newcomer) {
-        ClientAddress<C> address = byEvictableCount.get(maxEvictableCount);
-        if (maxEvictableCount == 0 || address == null) {
-            return null;
-        }
-        Entry<C> entry = address.firstEvictable(newcomer);
-        // every address with as many connections has just one, and the first one's is the newcomer: take another's
-        if (entry == null) {
-            entry = address.nextWithSameCount == null ? null : address.nextWithSameCount.firstEvictable(newcomer);
-        }
+    public C evictionCandidate(EvictionPurpose purpose, Entry<C> newcomer) {
+        Entry<C> entry = switch (purpose) {
+            case CONNECTION -> firstEvictable(EvictionRank.SILENT);
+            case REQUEST -> firstEvictable(EvictionRank.IDLE);
+            case LAST_RESORT -> lastResort(newcomer);
+        };
         return entry == null ? null : entry.connection;
     }
 
+    private Entry<C> firstEvictable(EvictionRank lastRank) {
+        return maxEvictableCount == 0 ? null : byEvictableCount.get(maxEvictableCount).firstEvictable(lastRank);
+    }
+
     /**
-     * The connection to close where there is no evictable one and nobody else could be accepted: one that has completed
-     * no request, opened beyond the limit or else with a partial request, for the longest time; null if there is none.
+     * Beside those that are closed for any connection, in this order: the one of any address that has been silent for
+     * the longest, the one that has been new for the longest, one between requests, the oldest with a partial request.
      */
-    public C lastResort() {
-        Entry<C> surplus = phaseHeads.get(ConnectionPhase.SURPLUS.ordinal());
-        Entry<C> entry = surplus != null ? surplus : phaseHeads.get(ConnectionPhase.PART.ordinal());
-        return entry == null ? null : entry.connection;
+    private Entry<C> lastResort(Entry<C> newcomer) {
+        Entry<C> entry = firstEvictable(EvictionRank.SILENT);
+        entry = entry != null ? entry : phaseHeads.get(ConnectionPhase.SILENT.ordinal());
+        entry = entry != null ? entry : oldestNew(newcomer);
+        entry = entry != null ? entry : firstEvictable(EvictionRank.IDLE);
+        return entry != null ? entry : phaseHeads.get(ConnectionPhase.PART.ordinal());
+    }
+
+    private Entry<C> oldestNew(Entry<C> newcomer) {
+        Entry<C> oldest = phaseHeads.get(ConnectionPhase.NEW.ordinal());
+        return oldest != null && oldest == newcomer ? oldest.nextInPhase : oldest;
     }
 
     // ---- phase lists
--- a/src/main/java/mastdrift/limits/ConnectionPhase.java
+++ b/src/main/java/mastdrift/limits/ConnectionPhase.java
@@ -1,15 +1,15 @@
 package mastdrift.limits;
 
 /**
- * The phase of a client's connection; each but {@link #BUSY} has a time bound of its own. Connections in {@link #PART},
- * {@link #UNREAD} and {@link #IDLE} enter another phase at that bound, the others are closed.
+ * The phase of a client's connection; each but {@link #BUSY} has a time bound of its own. Connections in {@link #NEW},
+ * {@link #PART}, {@link #UNREAD} and {@link #IDLE} enter another phase at that bound, the others are closed.
  */
 public enum ConnectionPhase {
 
-    /** Opened, and no whole request has been received yet. */
+    /** Opened a moment ago: its first request may be on its way. */
+    NEW,
+    /** Opened for longer, and no whole request has been received yet. */
     SILENT,
-    /** As {@link #SILENT}, but opened when there was no room for it: its request may have to be refused. */
-    SURPLUS,
     /** A part of a request has been received. */
     PART,
     /** A part of a request has been received, and the rest has been missing for a while. */
@@ -36,7 +36,7 @@
             case SILENT -> EvictionRank.SILENT;
             case IDLE, DORMANT -> EvictionRank.IDLE;
             case STALLED, ABANDONED -> EvictionRank.STALLED;
-            case SURPLUS, PART, BUSY, UNREAD -> null;
+            case NEW, PART, BUSY, UNREAD -> null;
         };
     }
 }
--- a/src/main/java/mastdrift/limits/PhaseBounds.java
+++ b/src/main/java/mastdrift/limits/PhaseBounds.java
@@ -15,6 +15,11 @@
      * pay for setting it up again.
      */
     public static final long IDLE_BEFORE_DORMANT_MICROS = 1_000_000;
+    /**
+     * How long the first request of a connection may be on its way, so that the connection isn't closed to make room.
+     * Longer than a round trip.
+     */
+    public static final long NEW_BEFORE_SILENT_MICROS = 100_000;
     /**
      * How long the rest of a request may be missing before its connection may be closed to make room. Longer than a
      * retransmission in the network takes.
@@ -38,7 +43,8 @@
      */
     long boundMicros(ConnectionPhase phase, long responseOwedMicros) {
         return switch (phase) {
-            case SILENT, SURPLUS -> silentMicros;
+            case NEW -> Math.min(silentMicros, NEW_BEFORE_SILENT_MICROS);
+            case SILENT -> silentMicros - NEW_BEFORE_SILENT_MICROS;
             case PART -> Math.min(requestMicros, PART_BEFORE_STALLED_MICROS);
             case STALLED -> requestMicros - PART_BEFORE_STALLED_MICROS;
             case BUSY -> Long.MAX_VALUE;
@@ -52,6 +58,7 @@
     /** The phase that a connection enters at the bound of {@code phase}; null if it is to be closed. */
     ConnectionPhase successor(ConnectionPhase phase, long responseOwedMicros) {
         return switch (phase) {
+            case NEW -> silentMicros > NEW_BEFORE_SILENT_MICROS ? ConnectionPhase.SILENT : null;
             case PART -> requestMicros > PART_BEFORE_STALLED_MICROS ? ConnectionPhase.STALLED : null;
             case UNREAD -> unreadMicros > responseOwedMicros ? ConnectionPhase.ABANDONED : null;
             case IDLE -> ConnectionPhase.DORMANT;
@@ -64,7 +71,7 @@
      * where that bound is no longer, and a stalled one stays stalled: bytes that trickle in must not gain time.
      */
     ConnectionPhase afterPartialInput(ConnectionPhase phase) {
-        boolean hadNoRequest = phase == ConnectionPhase.SILENT || phase == ConnectionPhase.SURPLUS;
+        boolean hadNoRequest = phase == ConnectionPhase.SILENT || phase == ConnectionPhase.NEW;
         boolean keepsPhase = phase == ConnectionPhase.STALLED || hadNoRequest && silentMicros <= requestMicros;
         return keepsPhase ? phase : ConnectionPhase.PART;
     }
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -58,6 +58,7 @@
 import mastdrift.limits.ClientConnectionTable;
 import mastdrift.limits.ConnectionLimit;
 import mastdrift.limits.ConnectionPhase;
+import mastdrift.limits.EvictionPurpose;
 import mastdrift.limits.PhaseBounds;
 
 /**
@@ -141,7 +142,7 @@
         this.router = router;
         this.log = log;
         connectionLimit = new ConnectionLimit(maxConnections);
-        acceptor = new Acceptor(loop, ledger, () -> evictConnection(null, true), log);
+        acceptor = new Acceptor(loop, ledger, () -> evictConnection(EvictionPurpose.LAST_RESORT, null), log);
         tenants.stream().map(Tenant::name).forEach(this.tenants::add);
     }
 
@@ -171,7 +172,7 @@
      */
     int connectionCount(boolean withHttpHandlers) {
         int withoutHandlers = connections.size(ConnectionPhase.DORMANT) + connections.size(ConnectionPhase.SILENT)
-                + connections.size(ConnectionPhase.SURPLUS);
+                + connections.size(ConnectionPhase.NEW);
         return withHttpHandlers ? connections.size() - withoutHandlers : withoutHandlers;
     }
 
@@ -238,7 +239,7 @@
         loop.schedule(() -> {
             connections.forEach(ConnectionPhase.BUSY, Connection::failOpenRequest);
             // the time to complete partial requests, and to read abandoned responses, is over
-            List.of(ConnectionPhase.SILENT, ConnectionPhase.SURPLUS, ConnectionPhase.PART, ConnectionPhase.STALLED,
+            List.of(ConnectionPhase.NEW, ConnectionPhase.SILENT, ConnectionPhase.PART, ConnectionPhase.STALLED,
                     ConnectionPhase.ABANDONED).forEach(phase -> closeUnlessRequested(phase, true));
         }, answeredInMicros, TimeUnit.MICROSECONDS);
         // Connections that are still open by then are logged, since the process may be killed next.
@@ -273,7 +274,7 @@
      */
     void endServing() {
         servingEnded = true;
-        List.of(ConnectionPhase.SILENT, ConnectionPhase.SURPLUS)
+        List.of(ConnectionPhase.NEW, ConnectionPhase.SILENT)
                 .forEach(phase -> closeUnlessRequested(phase, false));
         completeStopIfDone();
     }
@@ -288,7 +289,7 @@
 
     private void closeOverdueConnections() {
         connections.forEachOverdue(ledger.now(), MAX_CLOSES_PER_SWEEP, Connection::handleOverdue);
-        makeRoom(null);
+        makeRoom(EvictionPurpose.CONNECTION);
     }
 
     /**
@@ -297,15 +298,14 @@
      * accepting pause: requests in the listen backlog have been taken, and nobody would answer them.
      */
     private void admit(Connection accepted) {
-        if (makeRoom(accepted.entry)) {
+        if (makeRoom(EvictionPurpose.CONNECTION)) {
             return;
         }
+        accepted.surplus = true;
         boolean reserveUsedUp = connectionLimit.isReserveUsedUp(connections.size());
-        if (reserveUsedUp && !evictConnection(accepted.entry, true)) {
+        if (reserveUsedUp && !evictConnection(EvictionPurpose.LAST_RESORT, accepted.entry)) {
             acceptor.pause();
         }
-        accepted.surplus = true;
-        connections.moveTo(ledger.now(), accepted.entry, ConnectionPhase.SURPLUS);
         logLimitReached();
     }
 
@@ -318,9 +318,9 @@
     }
 
     /** Evicts connections until the limit is kept; returns whether it is. */
-    private boolean makeRoom(ClientConnectionTable.Entry<Connection> newcomer) {
+    private boolean makeRoom(EvictionPurpose purpose) {
         while (connectionLimit.isExceeded(connections.size())) {
-            if (!evictConnection(newcomer, false)) {
+            if (!evictConnection(purpose, null)) {
                 return false;
             }
         }
@@ -328,15 +328,21 @@
     }
 
     /**
-     * Closes a connection that is owed no response. Its unread input is read first, since it may contain a request.
-     * Returns false if no connection could be closed.
+     * Whether a request may be served that was received on a connection beyond the limit. Connections that have just
+     * been opened don't count: most of a crowd never send a request.
      */
-    private boolean evictConnection(ClientConnectionTable.Entry<Connection> newcomer, boolean lastResort) {
+    private boolean hasRoomForRequest() {
+        return !connectionLimit.isExceeded(connections.size() - connections.size(ConnectionPhase.NEW))
+                || makeRoom(EvictionPurpose.REQUEST);
+    }
+
+    /**
+     * Closes a connection that is owed no response, other than {@code newcomer}. Its unread input is read first, since
+     * it may contain a request. Returns false if no connection could be closed.
+     */
+    private boolean evictConnection(EvictionPurpose purpose, ClientConnectionTable.Entry<Connection> newcomer) {
         for (int i = 0; i < MAX_EVICTION_CANDIDATES; i++) {
-            Connection candidate = connections.evictionCandidate(newcomer);
-            if (candidate == null && lastResort) {
-                candidate = connections.lastResort();
-            }
+            Connection candidate = connections.evictionCandidate(purpose, newcomer);
             if (candidate == null) {
                 return false;
             }
@@ -573,8 +579,8 @@
                 connections.moveTo(ledger.now(), entry, decoder.isBetweenRequests() ? ConnectionPhase.IDLE : ConnectionPhase.PART);
                 if (servingEnded && entry.phase() == ConnectionPhase.IDLE) {
                     close();  // its response was on the way when the other connections were closed
-                } else if (acceptor.isPaused()) {  // else accepting never resumes
-                    makeRoom(null);
+                } else if (acceptor.isPaused() && !makeRoom(EvictionPurpose.REQUEST)) {
+                    evictConnection(EvictionPurpose.LAST_RESORT, null);  // else accepting might not resume
                 }
                 return;
             }
@@ -678,7 +684,7 @@
                 HttpCall call = new HttpCall(message.retain());
                 RequestAttributes attributes = new RequestAttributes(requestClass.name(), tenant, affinityKey, timeLeftMicros,
                         head.isRepeat(), message.method().equals(HttpMethod.POST), workMicros, clientZone(), effectKey);
-                surplus = surplus && !makeRoom(null);
+                surplus = surplus && !hasRoomForRequest();
                 if (surplus) {
                     refuseForLackOfRoom(pool, call, attributes);
                 } else {
--- a/src/test/java/mastdrift/net/FullConnectionTableTest.java
+++ b/src/test/java/mastdrift/net/FullConnectionTableTest.java
@@ -243,6 +243,33 @@
         });
     }
 
+    /**
+     * Guards against a new connection that is closed for the next one while its request is on its way: the request had
+     * no answer. A pair that took longer than such a connection is spared says nothing.
+     */
+    @Test
+    void newConnectionIsNotClosedForTheNextOne() throws Exception {
+        startGateway(LONG_DEADLINE_MILLIS);
+        for (int i = 0; i < MAX_CONNECTIONS - 1; i++) {
+            write(connect(), request("held" + i, LONG_DEADLINE_MILLIS));
+        }
+        eventually(() -> connectionCount(HolderBehavior.WAITS_FOR_RESPONSE.phases) == MAX_CONNECTIONS - 1);
+        int[] pairs = new int[2];
+        eventually(() -> {
+            String id = "pair" + pairs[0]++;
+            long beganNanos = System.nanoTime();
+            try (Socket first = connect(); Socket next = sendAsNewcomer(id + "next")) {
+                awaitStatus(next, id + "next");
+                if (System.nanoTime() - beganNanos < TimeUnit.MICROSECONDS.toNanos(PhaseBounds.NEW_BEFORE_SILENT_MICROS)) {
+                    write(first, request(id + "first", NEWCOMER_EXPIRES_MILLIS));
+                    awaitStatus(first, id + "first");
+                    pairs[1]++;
+                }
+            }
+            return pairs[1] >= NEWCOMERS;
+        });
+    }
+
     /** Requests in progress keep their connections, whoever comes, and are answered. */
     @Test
     void requestsInProgressAreAnswered() throws Exception {
