End the appends that are pending when an agreed log is closed, as unknown

What callers saw: an append whose log was closed, as at a stop, never had an outcome: its retry was scheduled on a timer that had been shut down. No request waits for one; a change at a control machine is ended by its links. RaftLog.closed was read by other threads and not volatile. Change: agreed.edge.PendingAppends holds them, and ends each once. Measured: appendsThatArePendingWhenTheLogIsClosedEndAsUnknown fails before (no outcome in 40 s) and not now.

--- a/src/main/java/mastdrift/agreed/edge/RaftLog.java
+++ b/src/main/java/mastdrift/agreed/edge/RaftLog.java
@@ -133,7 +133,7 @@
     private final SecureRandom random = new SecureRandom();
     private final ClientId clientId = ClientId.randomId();
     private final AtomicLong callIds = new AtomicLong();
-    private final AtomicLong pendingAppends = new AtomicLong();
+    private final PendingAppends pendingAppends = new PendingAppends(MAX_PENDING_APPENDS);
     private final Map<String, MemberRecord> peerRecords = new ConcurrentHashMap<>();
     private final RaftGroupId groupId;
     private final ReplicatedStateMachine stateMachine;
@@ -151,7 +151,7 @@
     private boolean lagging;  // an event has reported that the own log does not advance
     private boolean configurationChangePending;
     private boolean membershipConfirmed;  // the committed configuration contains this member
-    private boolean closed;
+    private volatile boolean closed;
 
     /**
      * Creates the log and starts to contact the other voters. Decisions are delivered to {@code decisionConsumer} in
@@ -749,16 +749,11 @@
     }
 
     private void propose(byte[] entry, Consumer<AppendOutcome> callback) {
-        if (pendingAppends.incrementAndGet() > MAX_PENDING_APPENDS) {
-            pendingAppends.decrementAndGet();
-            callback.accept(new AppendOutcome.Unknown("expected at most " + MAX_PENDING_APPENDS + " pending appends"));
-            return;
-        }
+        PendingAppends.PendingAppend append = pendingAppends.add(callback);
         long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(APPEND_TIMEOUT_MILLIS);
-        propose(entry, deadlineNanos, "", outcome -> {
-            pendingAppends.decrementAndGet();
-            callback.accept(outcome);
-        });
+        if (append.isPending()) {
+            propose(entry, deadlineNanos, "", append::end);
+        }
     }
 
     /**
@@ -820,6 +815,7 @@
         closed = true;
         timer.shutdownNow();
         endpoint.close();
+        pendingAppends.close();
         if (server != null) {
             close(server);
         }
--- a/src/test/java/mastdrift/agreed/edge/RaftLogTest.java
+++ b/src/test/java/mastdrift/agreed/edge/RaftLogTest.java
@@ -220,6 +220,21 @@
         awaitAll(ids, "a", "b", "c", "d");
     }
 
+    /** Guards against appends whose callers wait for good because their log was closed meanwhile, at a stop. */
+    @Test
+    void appendsThatArePendingWhenTheLogIsClosedEndAsUnknown() throws Exception {
+        List<String> voters = List.of("a", "b", "c");
+        start("one", voters, "a", "b", "c");
+        members.get("a").commit("first");
+        String leader = members.get("a").log.status().leader();
+        voters.stream().filter(each -> !each.equals(leader)).forEach(partitioned::add);
+        CompletableFuture<AppendOutcome> pending = new CompletableFuture<>();
+        members.get(leader).log.append("second", new byte[1], pending::complete);
+        members.get(leader).log.close();
+        assertInstanceOf(AppendOutcome.Unknown.class, pending.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertInstanceOf(AppendOutcome.Unknown.class, members.get(leader).append("third"));
+    }
+
     /**
      * Guards against a voter whose own log accepts no entries without anybody noticing: it must fetch decisions from
      * another voter, each once, and go on from its own log later.
