Take the eviction of clients' connections out of HttpFront into a class of its own

Who makes room, and when accepting pauses and resumes, is net.ConnectionAdmission now; the count of phases is the table's. No behaviour changes.

--- a/src/main/java/mastdrift/limits/ClientConnectionTable.java
+++ b/src/main/java/mastdrift/limits/ClientConnectionTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.StringJoiner;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -155,6 +156,17 @@
         return phaseSizes[phase.ordinal()];
     }
 
+    /** The number of connections in each phase that has some, as text. */
+    public String phaseCounts() {
+        StringJoiner counts = new StringJoiner(", ");
+        for (ConnectionPhase phase : PHASES) {
+            if (size(phase) > 0) {
+                counts.add(size(phase) + " " + phase);
+            }
+        }
+        return counts.toString();
+    }
+
     /** The number of distinct client addresses. */
     public int addressCount() {
         return addressesById.size();
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -40,7 +40,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -58,7 +57,6 @@
 import mastdrift.limits.ClientConnectionTable;
 import mastdrift.limits.ConnectionLimit;
 import mastdrift.limits.ConnectionPhase;
-import mastdrift.limits.EvictionPurpose;
 import mastdrift.limits.PhaseBounds;
 
 /**
@@ -102,17 +100,13 @@
     // phase are closed at a time: closing ten thousand at once would delay everything else on the loop.
     private static final long SWEEP_INTERVAL_MILLIS = 250;
     private static final int MAX_CLOSES_PER_SWEEP = 1_000;
-    // Connections examined before the search for one to evict is given up.
-    private static final int MAX_EVICTION_CANDIDATES = 4;
     // A response is worth nothing to its client this long after the request's deadline.
     private static final long RESPONSE_LATENESS_MICROS = 550_000;
-    private static final long LIMIT_LOG_INTERVAL_MICROS = 10_000_000;
 
     private final EventLoop loop;
     private final RequestTracker ledger;
     private final Router router;
     private final Consumer<String> log;
-    private final ConnectionLimit connectionLimit;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private ChannelFactory<? extends ServerChannel> serverChannelFactory = NioServerSocketChannel::new;
@@ -120,10 +114,10 @@
     private final ClientConnectionTable<Connection> connections;
     private final Set<String> openRequestIds = new HashSet<>();  // ids of requests that have no final answer yet
     private final Acceptor acceptor;
+    private final ConnectionAdmission<Connection> admission;
     private boolean stopping;
     private boolean servingEnded;
     private long answerDeadlineMicros = Long.MAX_VALUE;
-    private long limitLoggedAtMicros = -LIMIT_LOG_INTERVAL_MICROS;
     private Runnable stopCallback;
 
     /** Holds about {@code maxConnections} connections, with the default {@link PhaseBounds}. */
@@ -141,8 +135,8 @@
         this.ledger = ledger;
         this.router = router;
         this.log = log;
-        connectionLimit = new ConnectionLimit(maxConnections);
-        acceptor = new Acceptor(loop, ledger, () -> evictConnection(EvictionPurpose.LAST_RESORT, null), log);
+        acceptor = new Acceptor(loop, ledger, this::closeOneToAccept, log);
+        admission = new ConnectionAdmission<>(connections, new ConnectionLimit(maxConnections), acceptor, ledger::now, log);
         tenants.stream().map(Tenant::name).forEach(this.tenants::add);
     }
 
@@ -252,21 +246,11 @@
 
     private void logOpenConnections() {
         if (connections.size() > 0) {
-            log.accept("shutdown is waiting for connections: " + phaseCounts() + "; unanswered requests: "
+            log.accept("shutdown is waiting for connections: " + connections.phaseCounts() + "; unanswered requests: "
                     + openRequestIds.stream().limit(MAX_LOGGED_IDS).toList());
         }
     }
 
-    private String phaseCounts() {
-        StringJoiner phases = new StringJoiner(", ");
-        for (ConnectionPhase phase : ConnectionPhase.values()) {
-            if (connections.size(phase) > 0) {
-                phases.add(connections.size(phase) + " " + phase);
-            }
-        }
-        return phases.toString();
-    }
-
     /**
      * From now on each connection closes after the last response that it is owed, and connections that never sent a
      * request close now. One that rests stays open for a while, and one with a partial request, since the rest of it is
@@ -289,72 +273,11 @@
 
     private void closeOverdueConnections() {
         connections.forEachOverdue(ledger.now(), MAX_CLOSES_PER_SWEEP, Connection::handleOverdue);
-        makeRoom(EvictionPurpose.CONNECTION);
+        admission.closeExcess();
     }
 
-    /**
-     * Handles a connection that was just accepted. Above the limit others are evicted. If none can be, the request of
-     * the new one will be refused unless there is room by then, and only when the reserve for that is used up does
-     * accepting pause: requests in the listen backlog have been taken, and nobody would answer them.
-     */
-    private void admit(Connection accepted) {
-        if (makeRoom(EvictionPurpose.CONNECTION)) {
-            return;
-        }
-        accepted.surplus = true;
-        boolean reserveUsedUp = connectionLimit.isReserveUsedUp(connections.size());
-        if (reserveUsedUp && !evictConnection(EvictionPurpose.LAST_RESORT, accepted.entry)) {
-            acceptor.pause();
-        }
-        logLimitReached();
-    }
-
-    private void logLimitReached() {
-        if (ledger.now() - limitLoggedAtMicros >= LIMIT_LOG_INTERVAL_MICROS) {
-            limitLoggedAtMicros = ledger.now();
-            log.accept("connections of clients are at their limit: " + phaseCounts()
-                    + (acceptor.isPaused() ? "; accepting is paused" : "; requests of new ones are refused"));
-        }
-    }
-
-    /** Evicts connections until the limit is kept; returns whether it is. */
-    private boolean makeRoom(EvictionPurpose purpose) {
-        while (connectionLimit.isExceeded(connections.size())) {
-            if (!evictConnection(purpose, null)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /**
-     * Whether a request may be served that was received on a connection beyond the limit. Connections that have just
-     * been opened don't count: most of a crowd never send a request.
-     */
-    private boolean hasRoomForRequest() {
-        return !connectionLimit.isExceeded(connections.size() - connections.size(ConnectionPhase.NEW))
-                || makeRoom(EvictionPurpose.REQUEST);
-    }
-
-    /**
-     * Closes a connection that is owed no response, other than {@code newcomer}. Its unread input is read first, since
-     * it may contain a request. Returns false if no connection could be closed.
-     */
-    private boolean evictConnection(EvictionPurpose purpose, ClientConnectionTable.Entry<Connection> newcomer) {
-        for (int i = 0; i < MAX_EVICTION_CANDIDATES; i++) {
-            Connection candidate = connections.evictionCandidate(purpose, newcomer);
-            if (candidate == null) {
-                return false;
-            }
-            ConnectionPhase phase = candidate.entry.phase();
-            boolean hadPartialRequest = candidate.hasPartialRequest();
-            UnreadInput.read(candidate.channel);
-            if (candidate.entry.phase() == phase && candidate.hasPartialRequest() == hadPartialRequest) {
-                candidate.close();
-                return true;
-            }
-        }
-        return false;
+    private void closeOneToAccept() {
+        admission.closeOne();
     }
 
     /**
@@ -407,7 +330,7 @@
      * One client's connection. Until its first byte arrives, this is the only handler in the pipeline: the first byte
      * adds the HTTP handlers in front of it, and they are removed again once the connection has been idle for a while.
      */
-    private final class Connection extends ChannelInboundHandlerAdapter implements Responder {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Responder, ConnectionAdmission.Evictable {
 
         private final Channel channel;
         private ClientConnectionTable.Entry<Connection> entry;
@@ -437,7 +360,7 @@
             openedTurn = ledger.turnNumber();
             earliestOpenMicros = acceptor.earliestArrivalMicros();
             entry = connections.add(ledger.now(), this, addressPrefix(channel.remoteAddress()));
-            admit(this);
+            surplus = !admission.admit(entry);
         }
 
         /**
@@ -471,6 +394,18 @@
             }
         }
 
+        @Override
+        public boolean closeUnlessInputArrived() {
+            ConnectionPhase phase = entry.phase();
+            boolean hadPartialRequest = hasPartialRequest();
+            UnreadInput.read(channel);
+            if (entry.phase() != phase || hasPartialRequest() != hadPartialRequest) {
+                return false;
+            }
+            close();
+            return true;
+        }
+
         /** Whether a request has arrived in part, but not completely. */
         private boolean hasPartialRequest() {
             return decoder != null && !decoder.isBetweenRequests();
@@ -494,9 +429,7 @@
                 connections.remove(entry);
             }
             openRequestIds.remove(requestId);
-            if (!connectionLimit.isReserveUsedUp(connections.size())) {
-                acceptor.resume();
-            }
+            admission.connectionClosed();
             if (pipelined != null) {
                 releasePipelined();
             }
@@ -579,8 +512,8 @@
                 connections.moveTo(ledger.now(), entry, decoder.isBetweenRequests() ? ConnectionPhase.IDLE : ConnectionPhase.PART);
                 if (servingEnded && entry.phase() == ConnectionPhase.IDLE) {
                     close();  // its response was on the way when the other connections were closed
-                } else if (acceptor.isPaused() && !makeRoom(EvictionPurpose.REQUEST)) {
-                    evictConnection(EvictionPurpose.LAST_RESORT, null);  // else accepting might not resume
+                } else {
+                    admission.connectionIdle();
                 }
                 return;
             }
@@ -684,7 +617,7 @@
                 HttpCall call = new HttpCall(message.retain());
                 RequestAttributes attributes = new RequestAttributes(requestClass.name(), tenant, affinityKey, timeLeftMicros,
                         head.isRepeat(), message.method().equals(HttpMethod.POST), workMicros, clientZone(), effectKey);
-                surplus = surplus && !hasRoomForRequest();
+                surplus = surplus && !admission.hasRoomForRequest();
                 if (surplus) {
                     refuseForLackOfRoom(pool, call, attributes);
                 } else {
