DescriptorsTest: take the descriptors that ended connections give back, too

Cause: dialWithoutADescriptorFailsOnTheEventLoop ('s2 DELIVERED' for 's2 UNUSED', or NoClassDefFoundError) takes all descriptors right after a dial and a call that failed. Their sockets are closed a moment after their failure is reported, and the connection to s1 after 4 s without use: each gives a descriptor back, with which the dial that must fail comes up, or a class of its success has to be loaded without one. Change: descriptors are taken until none came free in ten rounds of 20 ms, and the connection to s1 stays. What is expected is unchanged.

--- a/src/test/java/mastdrift/net/DescriptorsTest.java
+++ b/src/test/java/mastdrift/net/DescriptorsTest.java
@@ -204,13 +204,18 @@
      */
     static final class Full {
 
+        private static final int FILL_ROUNDS = 10;
+        private static final long FILL_PAUSE_MILLIS = 20;
+        // Longer than the test: the end of an idle connection would give a descriptor back.
+        private static final long IDLE_MICROS = 600_000_000;
+
         public static void main(String[] addresses) throws Exception {
             EventLoop loop = TimedEventLoop.start().loop();
             BlockingQueue<String> results = new LinkedBlockingQueue<>();
             EndpointGate gate = new EndpointGate();
             ConnectionPool pool = loop.submit(() -> {
                 ConnectionPool created = new ConnectionPool(loop, Clock.system()::now, Timers.of(loop), 20_000_000,
-                        5_000_000, 10, results::add);
+                        IDLE_MICROS, 10, results::add);
                 gate.apply(1, true, members(entry("s1", addresses[1], "a", "in_service"), entry("s2", addresses[1], "a", "in_service"),
                         entry("s3", addresses[2], "a", "in_service")).entries());
                 return created;
@@ -220,13 +225,11 @@
             send(loop, pool, gate.find("s3"), results);
             watch(loop, addresses[2], results).watch(false);
             List<FileInputStream> taken = new ArrayList<>();
-            boolean full = false;
-            while (!full) {
-                try {
-                    taken.add(new FileInputStream("/dev/null"));
-                } catch (FileNotFoundException e) {
-                    full = true;
-                }
+            int roundsWithoutOne = 0;
+            while (roundsWithoutOne < FILL_ROUNDS) {  // a connection that has failed gives its descriptor back a moment later
+                roundsWithoutOne = takeAll(taken) == 0 ? roundsWithoutOne + 1 : 0;
+                loop.submit(() -> { }).sync();
+                Thread.sleep(FILL_PAUSE_MILLIS);
             }
             System.out.println("full");
             send(loop, pool, gate.find("s2"), results);
@@ -240,6 +243,17 @@
             System.exit(0);
         }
 
+        /** Takes the descriptors that are free; returns how many. */
+        private static int takeAll(List<FileInputStream> taken) {
+            for (int count = 0; ; count++) {
+                try {
+                    taken.add(new FileInputStream("/dev/null"));
+                } catch (FileNotFoundException e) {
+                    return count;
+                }
+            }
+        }
+
         private static HostList members(String... entries) throws IOException {
             return HostList.parse(JSON.std.anyFrom(list(1, true, entries)));
         }
