Wait longer, and spread, behind calls to discovery that were refused in its queue

Discovery works through calls in turn, 60 to 70 ms each, and one that is refused after 2 s, or whose gateway was killed, has its turn all the same: where 64 of 92 gateways are killed with calls in the queue and call again within 2 s of their start, each call from the 18.7th second on is refused. Ruled out: lists refused or late in the gateway (none arrived), starts by the known list (n75 wasn't restarted), watches that end. Change: behind a call that had waited and was refused the next one begins 1.0 to 2.25 s later, evenly spread, whenever the listener asks; not behind the first refusal after a silence, whose 2.5 s are missing then. The bound of 6 s behind a single refusal is as it was (DiscoveryCallSchedulerTest, all rows). Tests of discovery, drains, lists, watches, moves: no failure.

--- a/src/main/java/mastdrift/net/DiscoveryCallScheduler.java
+++ b/src/main/java/mastdrift/net/DiscoveryCallScheduler.java
@@ -13,7 +13,10 @@
  * the first to send a line closes the others. The hedge delay is longer than calls wait at a registry that is
  * overloaded and refuses some, so hedging does not add to the overload. After a failure the listener asks again by a
  * back-off of its own; the scheduler starts a call without it once a longer wait would leave that call no time to wait
- * for its turn.
+ * for its turn. After a call that waited for its turn and was refused, the registry has as much work in its queue as it
+ * takes in that time, the work for callers that it has refused included: a call that followed at once would be refused
+ * too and add to that work. So the next one is started after a delay that is long, and spread so widely that gateways
+ * which were refused together don't call together.
  * <p>Times are in microseconds of one monotonic clock. Not thread-safe.
  * @param <C> a call
  */
@@ -54,6 +57,10 @@
      * together.
      */
     private static final long RETRY_DELAY_SPREAD_MICROS = 500_000;
+    /** A call that was open for as long, and was refused before it had received anything, has waited for its turn. */
+    private static final long MIN_QUEUED_MICROS = 1_000_000;
+    /** Shortest delay after a call that waited for its turn and was refused; the longest is that of every retry. */
+    private static final long MIN_DELAY_AFTER_QUEUED_MICROS = 1_000_000;
     /** At the same time, for one watch or fetch. */
     static final int MAX_OPEN_CALLS = 3;
     private static final long NEVER = Long.MAX_VALUE;
@@ -61,13 +68,21 @@
     /** A call that is open, and its times. */
     private static final class OpenCall<C> {
         private final C call;
+        private final long startedAt;
         private long deadline;  // until connected, or until the next line
         private long timeout;
         private long hedgeAt = NEVER;
         private boolean connected;
+        private boolean heard;  // a line was received
 
-        OpenCall(C call) {
+        OpenCall(C call, long startedAt) {
             this.call = call;
+            this.startedAt = startedAt;
+        }
+
+        /** Whether the call, which fails now, was refused after it had waited for its turn. */
+        boolean wasRefusedInQueue(long now) {
+            return !heard && now < deadline && now - startedAt >= MIN_QUEUED_MICROS;
         }
 
         void startTimeout(long now, long duration) {
@@ -82,6 +97,8 @@
     private final List<OpenCall<C>> openCalls = new ArrayList<>();
     private boolean active;
     private long nextCallAt = NEVER;  // when no call is open
+    private long notBefore = Long.MIN_VALUE;  // of the next call, whenever the listener asks
+    private boolean fellSilent;  // a call has timed out since the last line, and none was refused since
     private long movedAt;
     private boolean hasMoved;
     private boolean awaitingRequest;  // a failure was reported, and the listener has not asked again since
@@ -105,7 +122,7 @@
     void request(long now) {
         active = true;
         if (!(awaitingRequest && calledSinceFailure) && openCalls.isEmpty()) {
-            nextCallAt = now;
+            nextCallAt = Math.max(now, notBefore);
         }
         awaitingRequest = false;
         calledSinceFailure = false;
@@ -132,6 +149,7 @@
         List<C> closed = openCalls();
         openCalls.clear();
         nextCallAt = NEVER;
+        notBefore = Long.MIN_VALUE;
         return closed;
     }
 
@@ -156,7 +174,7 @@
     void callStarted(long now, C call) {
         calledSinceFailure = awaitingRequest;
         nextCallAt = NEVER;
-        OpenCall<C> openCall = new OpenCall<>(call);
+        OpenCall<C> openCall = new OpenCall<>(call, now);
         openCall.startTimeout(now, isMoving(now) ? MOVE_CONNECT_TIMEOUT_MICROS : CONNECT_TIMEOUT_MICROS);
         openCall.hedgeAt = now + CONNECT_HEDGE_DELAY_MICROS;
         openCalls.add(openCall);
@@ -205,6 +223,8 @@
         openCalls.removeIf(other -> other != openCall);
         openCall.startTimeout(now, WATCH_IDLE_TIMEOUT_MICROS);
         openCall.hedgeAt = NEVER;
+        openCall.heard = true;
+        fellSilent = false;
         awaitingRequest = false;
         calledSinceFailure = false;
         return others;
@@ -232,8 +252,7 @@
         boolean moving = isMoving(now);
         openCalls.remove(openCall);
         if (openCalls.isEmpty()) {
-            nextCallAt = now + (moving ? MOVE_RETRY_DELAY_MICROS
-                    : MAX_RETRY_DELAY_MICROS - random.applyAsLong(RETRY_DELAY_SPREAD_MICROS));
+            scheduleRetry(now, openCall, moving);
         } else if (wasNewest && now < openCall.deadline) {
             // A failure before the timeout, a refusal for example: the remaining call is not hedged again at once.
             newestCall().hedgeAt = Math.max(newestCall().hedgeAt, now
@@ -252,6 +271,24 @@
         return reports;
     }
 
+    /**
+     * After silence, the time that was spent on noticing it is missing for the next calls: the first that is refused
+     * then is followed by another one soon.
+     */
+    private void scheduleRetry(long now, OpenCall<C> failed, boolean moving) {
+        notBefore = Long.MIN_VALUE;
+        if (moving) {
+            nextCallAt = now + MOVE_RETRY_DELAY_MICROS;
+        } else if (failed.wasRefusedInQueue(now) && !fellSilent) {
+            notBefore = now + MAX_RETRY_DELAY_MICROS
+                    - random.applyAsLong(MAX_RETRY_DELAY_MICROS - MIN_DELAY_AFTER_QUEUED_MICROS);
+            nextCallAt = notBefore;
+        } else {
+            nextCallAt = now + MAX_RETRY_DELAY_MICROS - random.applyAsLong(RETRY_DELAY_SPREAD_MICROS);
+        }
+        fellSilent = now >= failed.deadline;
+    }
+
     /** The calls that have timed out; each is to be passed to {@link #callFailed} and closed. */
     List<C> overdueCalls(long now) {
         return openCalls.stream().filter(openCall -> now >= openCall.deadline).map(openCall -> openCall.call).toList();
