--- a/src/test/java/mastdrift/ArchitectureTest.java
+++ b/src/test/java/mastdrift/ArchitectureTest.java
@@ -31,6 +31,7 @@
                     "mastdrift.distribution.edge", "mastdrift.lab.model", "mastdrift.logging"),
             List.of("mastdrift.serve", "mastdrift.standin", "mastdrift.lab.load"),
             List.of("mastdrift.lab"), List.of("mastdrift.lab.report"), List.of("mastdrift.lab.rig"),
+            List.of("mastdrift.lab.flood"),
             List.of("mastdrift.lab.scale", "mastdrift.lab.soak"),
             List.of("mastdrift.cli", "mastdrift.measure"));
 
