--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import mastdrift.engine.Member;
 import mastdrift.membership.HostListLease;
 
@@ -174,6 +175,11 @@
         }
     }
 
+    /** The connections of the open calls. */
+    List<Channel> openChannels() {
+        return Stream.concat(watch.scheduler.openCalls().stream(), fetch.scheduler.openCalls().stream()).toList();
+    }
+
     private boolean hasNoOpenCalls() {
         return watch.scheduler.openCalls().isEmpty() && fetch.scheduler.openCalls().isEmpty();
     }
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -77,6 +77,10 @@
         return ledger;
     }
 
+    Discovery discovery() {
+        return discovery;
+    }
+
     /** Completes when discovery has delivered its first list. */
     CompletableFuture<Void> firstListReceived() {
         return firstList;
--- a/src/test/java/mastdrift/engine/EndpointGateTest.java
+++ b/src/test/java/mastdrift/engine/EndpointGateTest.java
@@ -70,6 +70,32 @@
         assertSame(second, gate.find("s1"));
     }
 
+    /** Guards against sending a server's requests to another one that has taken over its address. */
+    @Test
+    void serverThatAppearsAtAnAddressEndsTheServiceOfTheOneThatWasThere() {
+        gate.apply(5, true, List.of(up("old")));
+        Endpoint old = gate.find("old");
+        gate.apply(6, false, List.of(member("new", Health.UP, 9, FIRST_ADDRESS)));
+        assertFalse(old.maySend());
+        assertNull(gate.find("old"));
+        assertTrue(gate.find("new").maySend());
+        gate.apply(5, true, List.of(up("old")));
+        assertNull(gate.find("old"), "a list from before the new server doesn't bring the old one back");
+    }
+
+    /** Guards against two servers in service at one address, of which a list names the one that has gone too. */
+    @Test
+    void latestStartHoldsTheAddressThatOneListGivesToTwoServers() {
+        for (boolean newFirst : new boolean[] {true, false}) {
+            EndpointGate each = new EndpointGate();
+            List<Member> entries = new ArrayList<>(List.of(member("new", Health.UP, 9, FIRST_ADDRESS)));
+            entries.add(newFirst ? 1 : 0, up("old"));
+            each.apply(5, true, entries);
+            assertNull(each.find("old"), "new first: " + newFirst);
+            assertTrue(each.find("new").maySend(), "new first: " + newFirst);
+        }
+    }
+
     @Test
     void newAddressMakesNewEndpoint() {
         gate.apply(5, true, List.of(up("s1")));
