--- /dev/null
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -0,0 +1,463 @@
+package mastdrift.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import mastdrift.engine.Exchange;
+import mastdrift.engine.Pool;
+import mastdrift.engine.RequestAttributes;
+import mastdrift.engine.RequestTracker;
+import mastdrift.engine.Responder;
+import mastdrift.engine.ResponseMessage;
+import mastdrift.limits.ClientConnectionTable;
+import mastdrift.limits.ConnectionPhase;
+
+/**
+ * One client's connection. Until its first byte arrives, this is the only handler in the pipeline: the first byte
+ * adds the HTTP handlers in front of it, and they are removed again once the connection has been idle for a while.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Responder, ConnectionAdmission.Evictable {
+
+    // Requests that are queued on a connection behind the current one. Up to MAX_OVERFLOW_REQUESTS more are only
+    // counted, and refused in their turn. Reading continues, since the close of a connection would otherwise go
+    // unnoticed while its requests wait to be forwarded. When reading has to pause, the queued requests and all unread
+    // ones are refused.
+    private static final int MAX_PIPELINED_REQUESTS = 8;
+    static final int MAX_OVERFLOW_REQUESTS = 1_024;
+    // Stands for a request that was only counted.
+    private static final FullHttpRequest OVERFLOW_REQUEST =
+            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "", Unpooled.EMPTY_BUFFER);
+    // When reading has paused, a close of the connection is behind all unread input. It is searched for with at most
+    // this many reads of 64 KiB; a client that has sent more than that is treated as gone.
+    private static final int MAX_READS_AFTER_PAUSE = 16;
+
+    /** A request, the earliest time from which it may have been waiting, and the turn in which it was read. */
+    private record ReceivedRequest(FullHttpRequest message, long waitingSinceMicros, long readTurn) { }
+
+    private final HttpFront front;
+    private final Channel channel;
+    private final EventLoop loop;
+    private final RequestTracker ledger;
+    private final ClientConnectionTable<ClientConnection> connections;
+    private ClientConnectionTable.Entry<ClientConnection> entry;
+    private StrictDecoder decoder;  // null while the HTTP handlers are not in the pipeline
+    private ArrayDeque<ReceivedRequest> pipelined;  // requests behind the current one; null until there is one
+    private int overflowCount;  // requests behind those, which will be refused
+    // reading had to pause: the client's close may be far behind what was read, until all input has been read
+    private boolean overflowed;
+    private FullHttpRequest currentRequest;
+    private Exchange exchange;
+    private String requestId;
+    // whether the current read has completed a request
+    private boolean requestCompleted;
+    private boolean inputFailed;  // no request can be read any more behind the current one
+    private boolean lastResponseWritten;
+    private boolean surplus;  // opened when there was no room for it, and no request of it has been served yet
+    private boolean closesToMakeRoom;
+    private long openedTurn;
+    private long earliestOpenMicros;  // earliest time at which it may have been in the listen backlog
+
+    ClientConnection(HttpFront front, Channel channel) {
+        this.front = front;
+        this.channel = channel;
+        loop = front.loop;
+        ledger = front.ledger;
+        connections = front.connections;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        openedTurn = ledger.turnNumber();
+        earliestOpenMicros = front.acceptor.earliestArrivalMicros();
+        entry = connections.add(ledger.now(), this, HttpFront.addressPrefix(channel.remoteAddress()));
+        surplus = !front.admission.admit(entry);
+    }
+
+    /**
+     * Moves a connection to the phase that follows, without its HTTP handlers if it has been idle for a while;
+     * closes it if none follows. It closes without a response, since a 408 might cross a request and be taken for
+     * its answer.
+     */
+    void handleOverdue(ConnectionPhase phase) {
+        if (phase == ConnectionPhase.IDLE && hasPartialRequest() || !connections.advance(entry)) {
+            closeUnlessRequested(phase, true);
+        } else if (phase == ConnectionPhase.IDLE) {
+            channel.pipeline().remove(StrictDecoder.class);
+            channel.pipeline().remove(HttpResponseEncoder.class);
+            channel.pipeline().remove(RequestAggregator.class);
+            decoder = null;
+            pipelined = null;
+        }
+    }
+
+    /**
+     * Closes the connection if it is in {@code phase}, in which it is owed no response, unless its unread input
+     * changes that: the close would reset a request that had arrived before it. Closes one with a partial request
+     * only if {@code includePartial}.
+     */
+    void closeUnlessRequested(ConnectionPhase phase, boolean includePartial) {
+        if (entry.phase() == phase) {
+            UnreadInput.read(channel);
+        }
+        if (entry.phase() == phase && (includePartial || !hasPartialRequest())) {
+            close();
+        }
+    }
+
+    @Override
+    public boolean closeUnlessInputArrived() {
+        ConnectionPhase phase = entry.phase();
+        boolean hadPartialRequest = hasPartialRequest();
+        UnreadInput.read(channel);
+        if (entry.phase() != phase || hasPartialRequest() != hadPartialRequest) {
+            return false;
+        }
+        close();
+        return true;
+    }
+
+    /** Number of requests that are only counted and will be refused. */
+    int overflowCount() {
+        return overflowCount;
+    }
+
+    /** Whether a request has arrived in part, but not completely. */
+    private boolean hasPartialRequest() {
+        return decoder != null && !decoder.isBetweenRequests();
+    }
+
+    /** Ends the open request now, as if its deadline had passed. */
+    void failOpenRequest() {
+        if (exchange != null) {
+            exchange.timeOut();
+        }
+    }
+
+    private void close() {
+        connections.remove(entry);
+        channel.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (entry != null) {
+            connections.remove(entry);
+        }
+        front.openRequestIds.remove(requestId);
+        front.admission.connectionClosed();
+        if (pipelined != null) {
+            releasePipelined();
+        }
+        if (exchange != null) {
+            exchange.clientDisconnected();
+        }
+        front.completeStopIfDone();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof FullHttpRequest request) {
+            receiveRequest(request);
+        } else {
+            decoder = new StrictDecoder();
+            channel.pipeline().addFirst(decoder, new HttpResponseEncoder(), new RequestAggregator());
+            channel.pipeline().fireChannelRead(message);
+        }
+    }
+
+    /** Takes ownership of the message. */
+    private void receiveRequest(FullHttpRequest message) {
+        if (lastResponseWritten) {
+            message.release();
+            return;
+        }
+        requestCompleted = true;
+        // A request found by the first wait after the accept may have been there as long as the connection.
+        long waitingSinceMicros = ledger.turnNumber() == openedTurn + 1 ? Math.min(earliestOpenMicros, ledger.earliestArrivalAt())
+                : ledger.earliestArrivalAt();
+        ReceivedRequest received = new ReceivedRequest(message, waitingSinceMicros, ledger.turnNumber());
+        if (currentRequest == null) {
+            startNext(received);
+            return;
+        }
+        if (pipelined == null) {
+            pipelined = new ArrayDeque<>(2);
+        }
+        if (!overflowed && overflowCount == 0 && pipelined.size() < MAX_PIPELINED_REQUESTS) {
+            pipelined.add(received);
+            return;
+        }
+        message.release();
+        // a close would no longer be noticed: then no request of this connection may wait to be forwarded
+        if (++overflowCount >= MAX_OVERFLOW_REQUESTS) {
+            channel.config().setAutoRead(false);
+            overflowed = true;
+            overflowCount += pipelined.size();
+            releasePipelined();
+        }
+    }
+
+    private void releasePipelined() {
+        pipelined.forEach(request -> request.message.release());
+        pipelined.clear();
+    }
+
+    /** The next request in order; null if there is none. */
+    private ReceivedRequest pollNext() {
+        ReceivedRequest next = pipelined == null ? null : pipelined.poll();
+        if (next == null && overflowCount > 0) {
+            overflowCount--;
+            return new ReceivedRequest(OVERFLOW_REQUEST, ledger.now(), ledger.turnNumber());
+        }
+        return next;
+    }
+
+    /** Input that did not complete a request is part of one. A read may also have found no input at all. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!requestCompleted && currentRequest == null && !lastResponseWritten && hasPartialRequest()) {
+            connections.receivedPart(ledger.now(), entry);
+        }
+        requestCompleted = false;
+    }
+
+    private void startNext(ReceivedRequest request) {
+        if (request == null) {
+            channel.config().setAutoRead(true);
+            connections.moveTo(ledger.now(), entry, decoder.isBetweenRequests() ? ConnectionPhase.IDLE : ConnectionPhase.PART);
+            if (front.isServingEnded() && entry.phase() == ConnectionPhase.IDLE) {
+                close();  // its response was on the way when the other connections were closed
+            } else {
+                front.admission.connectionIdle();
+            }
+            return;
+        }
+        connections.moveTo(ledger.now(), entry, ConnectionPhase.BUSY);
+        currentRequest = request.message;
+        // How long a close of the connection may have gone unnoticed: after the turn in which the request was read,
+        // a close is noticed in the turn in which it arrives.
+        long closeUnnoticedMicros = request.readTurn == ledger.turnNumber()
+                ? Math.max(ledger.now() - request.waitingSinceMicros, ledger.maxUnreadMicros()) : ledger.maxUnreadMicros();
+        if (overflowed && currentRequest != OVERFLOW_REQUEST) {
+            loop.execute(() -> {  // once all input behind it has been read, it is served like any other
+                overflowed = !UnreadInput.readAll(channel, MAX_READS_AFTER_PAUSE);
+                processAndRelease(request, overflowed);
+            });
+        } else {
+            boolean readFirst = closeUnnoticedMicros > RequestTracker.CHECK_INPUT_AFTER_MICROS;
+            loop.execute(() -> {  // not within the read that delivered it, where reading again would find nothing
+                if (readFirst) {
+                    UnreadInput.read(channel);
+                }
+                // false, since it was read before a pause that its own read may have caused
+                processAndRelease(request, false);
+            });
+        }
+    }
+
+    private void processAndRelease(ReceivedRequest request, boolean behindPause) {
+        try {
+            if (channel.isActive()) {
+                process(request, behindPause);
+            }
+        } finally {
+            request.message.release();
+        }
+    }
+
+    private void process(ReceivedRequest request, boolean behindPause) {
+        FullHttpRequest message = request.message;
+        if (message == OVERFLOW_REQUEST || behindPause) {
+            sendRefusal(0);
+            return;
+        }
+        Throwable fault = message.decoderResult().cause();
+        if (fault != null) {
+            boolean bodyTooLarge = fault instanceof TooLongFrameException && "body".equals(fault.getMessage());
+            writeEmptyResponse(bodyTooLarge ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                    : fault instanceof StrictDecoder.UnsupportedTransferCodingException
+                    ? HttpResponseStatus.NOT_IMPLEMENTED
+                    : HttpResponseStatus.BAD_REQUEST, true);
+        } else if (matchesPath(message.uri(), "/ready")) {
+            boolean isGet = message.method().equals(HttpMethod.GET);
+            writeEmptyResponse(!isGet ? HttpResponseStatus.METHOD_NOT_ALLOWED
+                    : front.isStopping() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, false);
+        } else if (matchesPath(message.uri(), "/api") || message.uri().startsWith("/api/")) {
+            handleApiRequest(message, ledger.now() - request.waitingSinceMicros);
+        } else {
+            writeEmptyResponse(HttpResponseStatus.NOT_FOUND, false);
+        }
+    }
+
+    /** Whether the request target is this path, with a query or without. */
+    private static boolean matchesPath(String uri, String path) {
+        return uri.startsWith(path) && (uri.length() == path.length() || "?#".indexOf(uri.charAt(path.length())) >= 0);
+    }
+
+    private void handleApiRequest(FullHttpRequest message, long waitedMicros) {
+        ApiRequest.Result result = front.requestReader.read(message);
+        ApiRequest request = result.request();
+        if (request == null) {
+            writeEmptyResponse(result.rejection(), result.closesConnection());
+        } else if (!front.openRequestIds.add(request.traceId())) {
+            // Else the answers of two requests could be confused
+            writeEmptyResponse(HttpResponseStatus.CONFLICT, false);
+        } else {
+            requestId = request.traceId();
+            forward(message, request, waitedMicros);
+        }
+    }
+
+    private void forward(FullHttpRequest message, ApiRequest request, long waitedMicros) {
+        Pool pool = front.router.pool(request.requestClass(), request.tenant(), message, request.routingKey());
+        if (pool == null) {
+            writeEmptyResponse(HttpResponseStatus.NOT_FOUND, false);
+            return;
+        }
+        long timeLeftMicros = Math.min(Math.min(request.expiresMillis() * 1_000, request.requestClass().deadline()) - waitedMicros,
+                front.answerDeadlineMicros() - ledger.now());
+        HttpCall call = new HttpCall(message.retain());
+        RequestAttributes attributes = new RequestAttributes(request.requestClass().name(), request.tenant(), request.affinityKey(),
+                timeLeftMicros, request.isRepeat(), message.method().equals(HttpMethod.POST), request.workMicros(),
+                front.clientZone(channel.remoteAddress()), request.effectKey());
+        surplus = surplus && !front.admission.hasRoomForRequest();
+        if (surplus) {
+            refuseForLackOfRoom(pool, call, attributes);
+        } else {
+            exchange = ledger.accept(pool, this, call, attributes, waitedMicros);
+        }
+    }
+
+    /** Refuses the request and closes the connection, once all requests that have arrived on it are answered. */
+    private void refuseForLackOfRoom(Pool pool, HttpCall call, RequestAttributes attributes) {
+        UnreadInput.read(channel);
+        closesToMakeRoom = true;
+        ledger.refuse(pool, this, call, attributes);
+    }
+
+    /**
+     * The client's close may be in unread input, which is read at each call, since the process may have been
+     * stalled since the last read.
+     */
+    @Override
+    public boolean isClientConnected() {
+        if (!channel.config().isAutoRead()) {
+            return UnreadInput.readAll(channel, MAX_READS_AFTER_PAUSE) && channel.isActive();
+        }
+        UnreadInput.read(channel);
+        return channel.isActive();
+    }
+
+    @Override
+    public boolean isClientGone() {
+        return !channel.isActive();
+    }
+
+    @Override
+    public void sendResponse(ResponseMessage hostAnswer) {
+        FullHttpResponse hostResponse = ((HttpAnswer) hostAnswer).message();
+        ByteBuf body = hostResponse.content().retain();
+        FullHttpResponse response = UncheckedHeaders.newResponse(HttpResponseStatus.OK, body);
+        String contentType = hostResponse.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        if (contentType != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        }
+        writeResponse(response, false);
+    }
+
+    /** Retry-After is in whole seconds, as HTTP defines it; 0 omits it. */
+    @Override
+    public void sendRefusal(long retryAfterMicros) {
+        FullHttpResponse response = emptyResponse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        if (retryAfterMicros > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, (retryAfterMicros + 999_999) / 1_000_000);
+        }
+        writeResponse(response, false);
+    }
+
+    @Override
+    public void sendFailure(boolean late) {
+        writeEmptyResponse(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, false);
+    }
+
+    private void writeEmptyResponse(HttpResponseStatus status, boolean close) {
+        writeResponse(emptyResponse(status), close);
+    }
+
+    private static FullHttpResponse emptyResponse(HttpResponseStatus status) {
+        return UncheckedHeaders.newResponse(status, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void writeResponse(FullHttpResponse response, boolean close) {
+        exchange = null;
+        front.openRequestIds.remove(requestId);
+        requestId = null;
+        // During a shutdown, or to make room, the connection closes with the last response that it is owed.
+        boolean moreRequests = overflowCount > 0 || pipelined != null && !pipelined.isEmpty();
+        boolean keepAlive = !close && !inputFailed && (moreRequests || !front.isServingEnded() && !closesToMakeRoom)
+                && HttpUtil.isKeepAlive(currentRequest);
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        HttpUtil.setKeepAlive(response, keepAlive);
+        connections.moveTo(ledger.now(), entry, ConnectionPhase.UNREAD);
+        channel.writeAndFlush(response).addListener((ChannelFutureListener) written -> {
+            currentRequest = null;
+            if (keepAlive && written.isSuccess()) {
+                startNext(pollNext());
+            } else {
+                closeAfterResponse();
+            }
+        });
+    }
+
+    /**
+     * Closes the connection after its last response. Unread input would turn the close into a reset, which may
+     * discard the response, so it is read and dropped first.
+     */
+    private void closeAfterResponse() {
+        lastResponseWritten = true;
+        if (pipelined != null) {
+            releasePipelined();
+        }
+        loop.execute(() -> {
+            UnreadInput.read(channel);
+            close();
+        });
+    }
+
+    /**
+     * An I/O error closes the connection. After any other fault, of the codec or of this program, a request that is
+     * being answered still gets its response.
+     */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        boolean clientFault = cause instanceof IOException || cause instanceof CodecException;
+        if (!clientFault) {
+            front.log.accept("fault on a client connection: " + cause);
+        }
+        if (cause instanceof IOException || currentRequest == null || lastResponseWritten) {
+            context.close();
+        } else if (exchange != null) {
+            inputFailed = true;
+            channel.config().setAutoRead(false);
+        } else {
+            writeEmptyResponse(HttpResponseStatus.INTERNAL_SERVER_ERROR, true);
+        }
+    }
+}
--- a/src/test/java/mastdrift/net/ClientDisconnectTest.java
+++ b/src/test/java/mastdrift/net/ClientDisconnectTest.java
@@ -234,7 +234,7 @@
             await(host.received);
             // The first answer is released once all requests have been read, or as many as are counted at most.
             eventually(() -> node.loop.submit(() -> node.clients.overflowRequestCount()).get()
-                    >= Math.min(requests - 9, HttpFront.MAX_OVERFLOW_REQUESTS));
+                    >= Math.min(requests - 9, ClientConnection.MAX_OVERFLOW_REQUESTS));
             answers.countDown();
             int served = 0;
             for (int i = 0; i < requests; i++) {
@@ -256,7 +256,7 @@
      */
     @Test
     void firstRequestOfAnOverflowingReadIsForwarded() throws Exception {
-        int requests = HttpFront.MAX_OVERFLOW_REQUESTS + 200;
+        int requests = ClientConnection.MAX_OVERFLOW_REQUESTS + 200;
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < requests; i++) {
             all.append(withTraceId(read(60_000), "id" + i));
@@ -298,7 +298,7 @@
                     list(2, true, inServiceEntry("s1", host.address()), inServiceEntry("s2", other.address())));
             flood(client, requests);
             eventually(() -> node.loop.submit(() -> node.clients.overflowRequestCount()).get()
-                    >= HttpFront.MAX_OVERFLOW_REQUESTS);
+                    >= ClientConnection.MAX_OVERFLOW_REQUESTS);
             disconnectBeyondCutoff(client, closeMode);
             clientLeft.countDown();
             awaitNoConnections(node);
@@ -318,7 +318,7 @@
             eventually(() -> isDialling(full.port()));
             flood(client, 3_000);
             eventually(() -> node.loop.submit(() -> node.clients.overflowRequestCount()).get()
-                    >= HttpFront.MAX_OVERFLOW_REQUESTS);
+                    >= ClientConnection.MAX_OVERFLOW_REQUESTS);
             disconnectBeyondCutoff(client, closeMode);
             assertEquals(Set.of(), receivedIds(node, full, true));
         }
