Keep the event loop running after an error in I/O, and say so in the log

Cause: Netty's I/O handler passes on an Error that no channel handler gets, such as one in a read before its first handler, and the event loop's thread ends with it; the last thread gone, the virtual machine exits with 0.

Change: TimedEventLoop logs such an error, once a second at most, and goes on: the events that it cut off are found by the next wait. A fault in a task that answers a request is passed on to its connection, which answers 500 and closes; before, it was told to nobody and the connection stayed busy for good.

--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -277,6 +277,8 @@
             if (channel.isActive()) {
                 process(request, behindPause);
             }
+        } catch (RuntimeException | Error fault) {  // nobody else answers: a task's fault is told to no handler
+            exceptionCaught(channel.pipeline().context(this), fault);
         } finally {
             request.message.release();
         }
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -57,7 +57,7 @@
             System.exit(2);
         }
         disableNettyLog();
-        TimedEventLoop timedLoop = TimedEventLoop.start();
+        TimedEventLoop timedLoop = TimedEventLoop.start(System.out::println);
         EventLoop loop = timedLoop.loop();
         CompletableFuture<Gateway> gatewayFuture = new CompletableFuture<>();
         // Installed first, since SIGHUP would otherwise end the process. A signal that comes before the gateway has
--- a/src/main/java/mastdrift/net/TimedEventLoop.java
+++ b/src/main/java/mastdrift/net/TimedEventLoop.java
@@ -7,6 +7,7 @@
 import io.netty.channel.IoRegistration;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.function.Consumer;
 import mastdrift.engine.Clock;
 import mastdrift.engine.Timers;
 import mastdrift.engine.TimerWheel;
@@ -25,12 +26,23 @@
     // The selector's timeout is in whole milliseconds, and a thread is always woken slightly late.
     private static final long WAKEUP_TOLERANCE_MICROS = 5_000;
 
-    /** Starts a loop on a thread of its own. */
+    // Errors of I/O are logged at most once in this time.
+    private static final long ERROR_LOG_INTERVAL_MICROS = 1_000_000;
+
+    /** Starts a loop on a thread of its own. Errors that would end it are written to standard error. */
     public static TimedEventLoop start() {
+        return start(System.err::println);
+    }
+
+    /**
+     * As above, with a log for errors that would end the loop. It goes on after an error: each event belongs to one
+     * connection, and what ends the loop ends all of them, and the process.
+     */
+    public static TimedEventLoop start(Consumer<String> errorLog) {
         Clock clock = Clock.system();
         EventLoopLateness turns = new EventLoopLateness();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, executor ->
-                new TimedIoHandler(NioIoHandler.newFactory().newHandler(executor), clock, turns)).next();
+                new TimedIoHandler(NioIoHandler.newFactory().newHandler(executor), clock, turns, errorLog)).next();
         return new TimedEventLoop(loop, clock, new TimerWheel(clock, Timers.of(loop)), turns);
     }
 
@@ -43,17 +55,20 @@
         private final IoHandler handler;
         private final Clock clock;
         private final EventLoopLateness turns;
+        private final Consumer<String> errorLog;
         private final RunQueueDelay runQueueDelay = new RunQueueDelay();
         private IoHandlerContext context;
         private long waitStartMicros;
         private long waitDueMicros;
         private long runQueueReadAtMicros;
         private long runQueueDelayMicros;
+        private long errorLoggedAtMicros = -ERROR_LOG_INTERVAL_MICROS;
 
-        TimedIoHandler(IoHandler handler, Clock clock, EventLoopLateness turns) {
+        TimedIoHandler(IoHandler handler, Clock clock, EventLoopLateness turns, Consumer<String> errorLog) {
             this.handler = handler;
             this.clock = clock;
             this.turns = turns;
+            this.errorLog = errorLog;
         }
 
         @Override
@@ -73,9 +88,22 @@
             waitStartMicros = now;
             waitDueMicros = Long.MAX_VALUE;
             turns.waitStarted(now);
-            int handled = handler.run(this);
-            turns.readyEventsHandled();
-            return handled;
+            try {
+                return handler.run(this);
+            } catch (Error error) {
+                logError(now, error);
+                return 0;
+            } finally {
+                turns.readyEventsHandled();
+            }
+        }
+
+        /** The events that the error has cut off are found again by the next wait. */
+        private void logError(long now, Error error) {
+            if (now - errorLoggedAtMicros >= ERROR_LOG_INTERVAL_MICROS) {
+                errorLoggedAtMicros = now;
+                errorLog.accept("error in the event loop, which goes on: " + error);
+            }
         }
 
         @Override
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -103,7 +103,7 @@
 
     private final Path file;
     private final Events events;
-    private final TimedEventLoop timedLoop = TimedEventLoop.start();
+    private final TimedEventLoop timedLoop = TimedEventLoop.start(this::log);
     private final EventLoop loop = timedLoop.loop();
     private final Clock clock = timedLoop.clock();
     private final SplittableRandom seeds = new SplittableRandom();
