Divide each turn of the event loop among the clients' connections

Behind 2 MB of unread body a request was forwarded 100 ms after its client had closed.

Cause: a turn had no bound on the work for one connection. A ready connection was read 16 times 64 KiB and all of that decoded, and a request that is answered at once starts the next one in the same turn, until Netty's limit for tasks, 1 s. The close behind that input was looked for with one read.

Change: limits.TurnShares counts work in units: 4,096 a turn for all connections, 512 of them for one, and 16 (one request) for each in any case. The decoder stops where the share is used up and goes on in the next turn (NextTurn), and so does the answering of requests. A connection is read once a turn, 8 KiB at most. A request is forwarded only once all input behind it has been read; reads that look for its end have a bound for all connections together, and a request is refused after 100 ms without it. A head has 100 fields at most (431 beyond), since one of 1,500 costs as much as 20 requests.

--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -28,6 +29,7 @@
 import mastdrift.engine.ResponseMessage;
 import mastdrift.limits.ClientConnectionTable;
 import mastdrift.limits.ConnectionPhase;
+import mastdrift.limits.TurnShares;
 
 /**
  * One client's connection. Until its first byte arrives, this is the only handler in the pipeline: the first byte
@@ -44,9 +46,9 @@
     // Stands for a request that was only counted.
     private static final FullHttpRequest OVERFLOW_REQUEST =
             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "", Unpooled.EMPTY_BUFFER);
-    // When reading has paused, a close of the connection is behind all unread input. It is searched for with at most
-    // this many reads of 64 KiB; a client that has sent more than that is treated as gone.
-    private static final int MAX_READS_AFTER_PAUSE = 16;
+    // A request whose client sends on and on isn't forwarded, since the close may be behind that. It is refused after this.
+    private static final long MAX_CATCH_UP_MICROS = 100_000;
+    private static final int UNITS_BEFORE_ANSWER = TurnShares.UNITS_PER_REQUEST / 2;
 
     /** A request, the earliest time from which it may have been waiting, and the turn in which it was read. */
     private record ReceivedRequest(FullHttpRequest message, long waitingSinceMicros, long readTurn) { }
@@ -58,6 +60,9 @@
     private final ClientConnectionTable<ClientConnection> connections;
     private ClientConnectionTable.Entry<ClientConnection> entry;
     private StrictDecoder decoder;  // null while the HTTP handlers are not in the pipeline
+    private final TurnShares.Share share = new TurnShares.Share();
+    private boolean inputLeft;  // the last read may have left input unread
+    private boolean searching;  // input is read to look for the close behind it, whatever the share of this turn
     private ArrayDeque<ReceivedRequest> pipelined;  // requests behind the current one; null until there is one
     private int overflowCount;  // requests behind those, which will be refused
     // reading had to pause: the client's close may be far behind what was read, until all input has been read
@@ -67,6 +72,7 @@
     private String requestId;
     // whether the current read has completed a request
     private boolean requestCompleted;
+    private boolean decodingScheduled;  // for the next turn
     private boolean inputFailed;  // no request can be read any more behind the current one
     private boolean lastResponseWritten;
     private boolean surplus;  // opened when there was no room for it, and no request of it has been served yet
@@ -126,7 +132,8 @@
         ConnectionPhase phase = entry.phase();
         boolean hadPartialRequest = hasPartialRequest();
         UnreadInput.read(channel);
-        if (entry.phase() != phase || hasPartialRequest() != hadPartialRequest) {
+        boolean hasUndecodedInput = decoder != null && decoder.isBlocked();
+        if (entry.phase() != phase || hasPartialRequest() != hadPartialRequest || hasUndecodedInput) {
             return false;
         }
         close();
@@ -176,7 +183,7 @@
         if (message instanceof FullHttpRequest request) {
             receiveRequest(request);
         } else {
-            decoder = new StrictDecoder();
+            decoder = new StrictDecoder(new DecodingMeter());
             channel.pipeline().addFirst(decoder, new HttpResponseEncoder(), new RequestAggregator());
             channel.pipeline().fireChannelRead(message);
         }
@@ -207,13 +214,18 @@
         message.release();
         // a close would no longer be noticed: then no request of this connection may wait to be forwarded
         if (++overflowCount >= MAX_OVERFLOW_REQUESTS) {
-            channel.config().setAutoRead(false);
             overflowed = true;
             overflowCount += pipelined.size();
             releasePipelined();
+            updateReading();
         }
     }
 
+    /** Reads on unless what was read before has to be worked off first. */
+    private void updateReading() {
+        channel.config().setAutoRead(!inputFailed && !overflowed && !(decoder != null && decoder.isBlocked()));
+    }
+
     private void releasePipelined() {
         pipelined.forEach(request -> request.message.release());
         pipelined.clear();
@@ -232,15 +244,69 @@
     /** Input that did not complete a request is part of one. A read may also have found no input at all. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        RecvByteBufAllocator.Handle lastRead = channel.unsafe().recvBufAllocHandle();
+        inputLeft = lastRead.lastBytesRead() > 0 && lastRead.lastBytesRead() == lastRead.attemptedBytesRead();
+        inputDecoded();
+    }
+
+    private void inputDecoded() {
         if (!requestCompleted && currentRequest == null && !lastResponseWritten && hasPartialRequest()) {
             connections.receivedPart(ledger.now(), entry);
         }
         requestCompleted = false;
+        if (decoder != null && decoder.isBlocked() && !decodingScheduled) {
+            decodingScheduled = true;
+            front.nextTurn.add(this::resumeDecoding);
+            updateReading();
+        }
+    }
+
+    /** Goes on with input that was beyond the connection's share of an earlier turn. */
+    private void resumeDecoding() {
+        decodingScheduled = false;
+        if (decoder == null || !channel.isActive()) {
+            return;
+        }
+        decodeUndecoded();
+        inputDecoded();
+        if (!decodingScheduled) {
+            updateReading();
+        }
+    }
+
+    private void decodeUndecoded() {
+        ChannelHandlerContext decoderContext = channel.pipeline().context(decoder);
+        try {
+            decoder.resume(decoderContext);
+        } catch (Exception fault) {
+            decoderContext.fireExceptionCaught(fault);
+        }
+    }
+
+    /** Bounds what is decoded of this connection in a turn. */
+    private final class DecodingMeter implements StrictDecoder.WorkMeter {
+
+        @Override
+        public boolean mayDecode() {
+            return searching ? front.turnShares.maySearch(ledger.turnNumber())
+                    : front.turnShares.mayWork(ledger.turnNumber(), share);
+        }
+
+        @Override
+        public void decoded(int bytes, int fields, boolean requestWasCompleted) {
+            int units = 1 + bytes / TurnShares.BYTES_PER_UNIT + fields / TurnShares.FIELDS_PER_UNIT
+                    + (requestWasCompleted ? UNITS_BEFORE_ANSWER - 4 : 0);
+            if (searching) {
+                front.turnShares.recordSearch(ledger.turnNumber(), units);
+            } else {
+                front.turnShares.recordWork(ledger.turnNumber(), share, units);
+            }
+        }
     }
 
     private void startNext(ReceivedRequest request) {
         if (request == null) {
-            channel.config().setAutoRead(true);
+            updateReading();
             connections.moveTo(ledger.now(), entry, decoder.isBetweenRequests() ? ConnectionPhase.IDLE : ConnectionPhase.PART);
             if (front.isServingEnded() && entry.phase() == ConnectionPhase.IDLE) {
                 close();  // its response was on the way when the other connections were closed
@@ -251,24 +317,69 @@
         }
         connections.moveTo(ledger.now(), entry, ConnectionPhase.BUSY);
         currentRequest = request.message;
-        // How long a close of the connection may have gone unnoticed: after the turn in which the request was read,
-        // a close is noticed in the turn in which it arrives.
+        // not within the read that delivered it, where reading again would find nothing
+        long startedMicros = ledger.now();
+        loop.execute(() -> begin(request, startedMicros));
+    }
+
+    /** Answers or forwards a request, in a later turn if the connection has used up its share of this one. */
+    private void begin(ReceivedRequest request, long startedMicros) {
+        if (channel.isActive() && !front.turnShares.mayWork(ledger.turnNumber(), share)) {
+            front.nextTurn.add(() -> begin(request, startedMicros));
+            return;
+        }
+        front.turnShares.recordWork(ledger.turnNumber(), share, TurnShares.UNITS_PER_REQUEST - UNITS_BEFORE_ANSWER);
+        if (!channel.isActive() || currentRequest == OVERFLOW_REQUEST || !mayHaveUnreadInput(request)) {
+            processAndRelease(request, false);
+            return;
+        }
+        boolean allRead = readAllInput();
+        if (!allRead && channel.isActive() && ledger.now() - startedMicros < MAX_CATCH_UP_MICROS) {
+            front.nextTurn.add(() -> begin(request, startedMicros));
+            return;
+        }
+        // once all input behind it has been read, it is served like any other
+        overflowed &= !allRead;
+        processAndRelease(request, !allRead);
+    }
+
+    /**
+     * Whether the client may have closed the connection unnoticed: its close is behind input that has not been read yet, or
+     * could be unread for too long. After the turn in which the request was read, a close behind no other input is noticed in
+     * the turn in which it arrives.
+     */
+    private boolean mayHaveUnreadInput(ReceivedRequest request) {
         long closeUnnoticedMicros = request.readTurn == ledger.turnNumber()
                 ? Math.max(ledger.now() - request.waitingSinceMicros, ledger.maxUnreadMicros()) : ledger.maxUnreadMicros();
-        if (overflowed && currentRequest != OVERFLOW_REQUEST) {
-            loop.execute(() -> {  // once all input behind it has been read, it is served like any other
-                overflowed = !UnreadInput.readAll(channel, MAX_READS_AFTER_PAUSE);
-                processAndRelease(request, overflowed);
-            });
-        } else {
-            boolean readFirst = closeUnnoticedMicros > RequestTracker.CHECK_INPUT_AFTER_MICROS;
-            loop.execute(() -> {  // not within the read that delivered it, where reading again would find nothing
-                if (readFirst) {
-                    UnreadInput.read(channel);
+        return hasUnreadInput() || closeUnnoticedMicros > RequestTracker.CHECK_INPUT_AFTER_MICROS;
+    }
+
+    private boolean hasUnreadInput() {
+        return overflowed || inputLeft || decoder.isBlocked();
+    }
+
+    /**
+     * Reads until no input is left; returns false if there may be more, since the bound of this turn on such reads was
+     * reached.
+     */
+    private boolean readAllInput() {
+        searching = true;
+        try {
+            if (decoder != null && decoder.isBlocked()) {
+                decodeUndecoded();
+            }
+            while (decoder == null || !decoder.isBlocked()) {
+                UnreadInput.read(channel);
+                if (channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0 || !channel.isActive()) {
+                    return true;
+                }
+                if (!front.turnShares.maySearch(ledger.turnNumber())) {
+                    return false;
                 }
-                // false, since it was read before a pause that its own read may have caused
-                processAndRelease(request, false);
-            });
+            }
+            return false;
+        } finally {
+            searching = false;
         }
     }
 
@@ -292,11 +403,7 @@
         }
         Throwable fault = message.decoderResult().cause();
         if (fault != null) {
-            boolean bodyTooLarge = fault instanceof TooLongFrameException && "body".equals(fault.getMessage());
-            writeEmptyResponse(bodyTooLarge ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
-                    : fault instanceof StrictDecoder.UnsupportedTransferCodingException
-                    ? HttpResponseStatus.NOT_IMPLEMENTED
-                    : HttpResponseStatus.BAD_REQUEST, true);
+            writeEmptyResponse(statusOf(fault), true);
         } else if (matchesPath(message.uri(), "/ready")) {
             boolean isGet = message.method().equals(HttpMethod.GET);
             writeEmptyResponse(!isGet ? HttpResponseStatus.METHOD_NOT_ALLOWED
@@ -308,6 +415,18 @@
         }
     }
 
+    /** The status that answers a request which could not be read. */
+    private static HttpResponseStatus statusOf(Throwable fault) {
+        if (fault instanceof TooLongFrameException && "body".equals(fault.getMessage())) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        }
+        if (fault instanceof StrictDecoder.TooManyFieldsException) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        return fault instanceof StrictDecoder.UnsupportedTransferCodingException ? HttpResponseStatus.NOT_IMPLEMENTED
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
     /** Whether the request target is this path, with a query or without. */
     private static boolean matchesPath(String uri, String path) {
         return uri.startsWith(path) && (uri.length() == path.length() || "?#".indexOf(uri.charAt(path.length())) >= 0);
@@ -360,11 +479,7 @@
      */
     @Override
     public boolean isClientConnected() {
-        if (!channel.config().isAutoRead()) {
-            return UnreadInput.readAll(channel, MAX_READS_AFTER_PAUSE) && channel.isActive();
-        }
-        UnreadInput.read(channel);
-        return channel.isActive();
+        return readAllInput() && channel.isActive();
     }
 
     @Override
@@ -457,7 +572,7 @@
             context.close();
         } else if (exchange != null) {
             inputFailed = true;
-            channel.config().setAutoRead(false);
+            updateReading();
         } else {
             writeEmptyResponse(HttpResponseStatus.INTERNAL_SERVER_ERROR, true);
         }
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -1,6 +1,7 @@
 package mastdrift.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -33,6 +34,7 @@
 import mastdrift.limits.ConnectionLimit;
 import mastdrift.limits.ConnectionPhase;
 import mastdrift.limits.PhaseBounds;
+import mastdrift.limits.TurnShares;
 
 /**
  * The HTTP/1.1 server that clients connect to: accepts connections, decodes and validates requests, hands them to the
@@ -48,6 +50,9 @@
     }
 
     private static final int LISTEN_BACKLOG = 1024;
+    private static final int MIN_READ_BYTES = 256;
+    private static final int INITIAL_READ_BYTES = 1_024;
+    private static final int MAX_READ_BYTES = 8_192;
     // During a shutdown, new connections keep arriving for a while until it has been noticed that this gateway stops.
     private static final long STOP_ACCEPT_MILLIS = 500;
     // When serving has ended, a connection closes with its next response; those that rest close only this long after the
@@ -76,6 +81,8 @@
     final ClientConnectionTable<ClientConnection> connections;
     final Set<String> openRequestIds = new HashSet<>();  // ids of requests that have no final answer yet
     final Acceptor acceptor;
+    final TurnShares turnShares = new TurnShares();
+    final NextTurn nextTurn;
     final ConnectionAdmission<ClientConnection> admission;
     private boolean stopping;
     private boolean servingEnded;
@@ -97,6 +104,7 @@
         this.ledger = ledger;
         this.router = router;
         this.log = log;
+        nextTurn = new NextTurn(loop);
         acceptor = new Acceptor(loop, ledger, this::closeOneToAccept, log);
         admission = new ConnectionAdmission<>(connections, new ConnectionLimit(maxConnections), acceptor, ledger::now, log);
         requestReader = new ApiRequest.Reader(this.classes, tenants.stream().map(Tenant::name).collect(Collectors.toSet()));
@@ -156,6 +164,9 @@
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Acceptor.MAX_ACCEPTS_PER_TURN))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // one read of a connection in a turn: its next input waits until the others have been read
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES,
+                        INITIAL_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1))
                 .handler(acceptor)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/mastdrift/net/StrictDecoder.java
+++ b/src/main/java/mastdrift/net/StrictDecoder.java
@@ -1,6 +1,7 @@
 package mastdrift.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.util.List;
 
 /**
@@ -43,6 +45,29 @@
         }
     }
 
+    /** Header fields of a request, and fields of its trailer, each at most; a client's own fields are a few. */
+    static final int MAX_FIELDS = 100;
+
+    /** A head or trailer with more fields than are read: answered with 431 (RFC 6585, section 5). */
+    static final class TooManyFieldsException extends IllegalArgumentException {
+
+        private static final long serialVersionUID = 1;
+
+        TooManyFieldsException() {
+            super("invalid request: expected " + MAX_FIELDS + " header fields at most");
+        }
+    }
+
+    /** Bounds the work that is done on one connection at a time. */
+    interface WorkMeter {
+
+        /** Whether more may be decoded now. */
+        boolean mayDecode();
+
+        /** Decoding has consumed so many bytes with so many fields, and completed a request or not. */
+        void decoded(int bytes, int fields, boolean requestCompleted);
+    }
+
     // By ASCII code, whether a character is allowed in a Host field.
     private static final boolean[] HOST_CHARACTERS = new boolean['~' + 1];
 
@@ -52,22 +77,57 @@
         }
     }
 
+    private final WorkMeter meter;
+    private boolean blocked;  // input is left undecoded, since the meter allowed no more
+    private int fields;  // of the current head, or of the current trailer
     private boolean inHead = true;
     private boolean requestLineRead;
     private boolean lineFolded;
     private int previousWordEnd;
 
+    StrictDecoder(WorkMeter meter) {
+        this.meter = meter;
+    }
+
+    /** Decodes input that was left undecoded, as far as the meter allows. */
+    void resume(ChannelHandlerContext context) throws Exception {
+        if (blocked) {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** Whether input is left undecoded because the meter allowed no more. */
+    boolean isBlocked() {
+        return blocked;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        blocked = !meter.mayDecode();
+        if (blocked) {
+            return;  // consumes nothing, which ends the decoding of this input
+        }
+        int bytesBefore = buffer.readableBytes();
+        int fieldsBefore = fields;
         if (inHead && !lineFolded) {
             lineFolded = hasFoldedLine(buffer);
         }
         super.decode(context, buffer, out);
-        if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+        boolean requestCompleted = !out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent;
+        if (requestCompleted) {
             inHead = true;
             requestLineRead = false;
             lineFolded = false;
         }
+        meter.decoded(bytesBefore - buffer.readableBytes(), Math.max(0, fields - fieldsBefore), requestCompleted);
+        fields = requestCompleted ? 0 : fields;
+    }
+
+    /** As the superclass, but never asks for more input, which is read only where the connection's owner wants it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        discardSomeReadBytes();
+        context.fireChannelReadComplete();
     }
 
     /**
@@ -133,12 +193,21 @@
         return super.createMessage(line);
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (++fields > MAX_FIELDS) {
+            throw new TooManyFieldsException();
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     // ---- the complete head
 
     /** Called once a head is complete, before its body is handled. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         inHead = false;
+        fields = 0;
         require(!lineFolded, "a folded header line");
         boolean isHttp11 = message.protocolVersion().equals(HttpVersion.HTTP_1_1);
         require(((HttpRequest) message).uri().startsWith("/"), "a target that is not in origin-form");
--- a/src/test/java/mastdrift/lab/flood/FloodTest.java
+++ b/src/test/java/mastdrift/lab/flood/FloodTest.java
@@ -24,11 +24,11 @@
 
     private static final FloodPlay.Limits LIMITS = new FloodPlay.Limits(192, 1_024);
     private static final int WAIT_MILLIS = 435;
-    private static final long FLOOD_MILLIS = 2_000;
-    private static final long CROWD_MILLIS = 3_000;
+    private static final long FLOOD_MILLIS = 1_500;
+    private static final long CROWD_MILLIS = 2_500;
     // A request that was sent before the flood ended has been answered by then, or is lost.
-    private static final long RECOVERY_MILLIS = 1_500;
-    private static final long SERVICE_MILLIS = 700;
+    private static final long RECOVERY_MILLIS = 1_000;
+    private static final long SERVICE_MILLIS = 500;
     private static final int CROWD_SIZE = 460;
 
     @TempDir
