Bound the memory for requests of all client connections together

Cause: what a connection holds of requests had bounds of its own (64 KiB of body, eight requests queued), and their sum had none. What was held cost a multiple of its bytes: each small read kept its receive buffer as a part of a composite body, a pooled chunk stays in use for one small buffer of it, and a field of four bytes costs some 200 of objects.

Change: limits.ByteBudget bounds what requests of all connections take beside 4 KiB for each: heads by their objects, bodies by their capacity. RequestAssembler takes the place of Netty's aggregator: it copies bodies into an array of their own, and where there is no room it reads and drops the rest, and the request is refused in its turn. Reading goes on, since a pause would hide the close of the connection. What has waited or been incomplete for 250 ms makes room for others, the longest first. The budget is an eighth of the heap and a twentieth of the memory limit at the most (limits.MessageMemory). An answer to Expect that isn't 100-continue keeps its turn, as other errors do. A request counts as sent by a client that is there only if its input was quiet, or has been for 20 ms behind more than one request's length, since a sender's system sends on after a close.

--- a/src/main/java/mastdrift/lab/flood/CrowdKind.java
+++ b/src/main/java/mastdrift/lab/flood/CrowdKind.java
@@ -16,8 +16,13 @@
     BODY_WITHOUT_END(Bytes.POST_HEAD + Bytes.BODY.substring(1), Integer.MAX_VALUE),
     /** Sends a head of very many short fields that has no end, and stays. */
     MANY_FIELDS(Bytes.POST_HEAD.substring(0, Bytes.POST_HEAD.length() - 2) + FloodKind.SHORT_FIELDS, Integer.MAX_VALUE),
-    /** Sends a whole request with very many short fields and half of the next one, and stays. */
-    WHOLE_AND_HALF(Bytes.GET_HEAD.substring(0, Bytes.GET_HEAD.length() - 2) + FloodKind.SHORT_FIELDS + "\r\n" + Bytes.POST_HEAD
+    /** Sends a head of as many fields, of some length, as are taken, but not its end, and stays. */
+    LONG_HEAD(Bytes.POST_HEAD.substring(0, Bytes.POST_HEAD.length() - 2) + ("X-Field: " + "v".repeat(60) + "\r\n").repeat(90),
+            Integer.MAX_VALUE),
+    /** Sends a large body in pieces of some hundred bytes. */
+    BODY_IN_PIECES(Bytes.POST_HEAD + Bytes.BODY, 700),
+    /** Sends a whole request with many fields and half of the next one, and stays. */
+    WHOLE_AND_HALF(Bytes.GET_HEAD.substring(0, Bytes.GET_HEAD.length() - 2) + Bytes.FIELDS + "\r\n" + Bytes.POST_HEAD
             + Bytes.BODY.substring(0, Bytes.BODY.length() / 2), Integer.MAX_VALUE),
     /** Sends eight requests with large bodies at once, and stays. */
     MANY_BODIES((Bytes.POST_HEAD + Bytes.BODY).repeat(8), Integer.MAX_VALUE),
@@ -34,6 +39,7 @@
                 + "X-Expires-In-Ms: 3000\r\n\r\n";
         private static final String POST_HEAD = GET_HEAD.replace("GET", "POST").replace("safe", "unsafe")
                 .replace("\r\n\r\n", "\r\nContent-Length: 65536\r\n\r\n");
+        private static final String FIELDS = "X-F: v\r\n".repeat(90);
         private static final String BODY = "x".repeat(1 << 16);
     }
 
--- a/src/main/java/mastdrift/lab/rig/DrainPlay.java
+++ b/src/main/java/mastdrift/lab/rig/DrainPlay.java
@@ -127,7 +127,7 @@
         numbers.put(name, numbers.size());
         Path file = configure(name, registry);
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-                "-Xmx48m", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main").redirectErrorStream(true);
+                "-Xmx72m", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main").redirectErrorStream(true);
         builder.environment().putAll(Map.of("NODE_NAME", name, "NODE_CONFIG", file.toString(), "NODE_LISTEN", "127.0.0.1:" + port));
         Process process = builder.start();
         signals.add(process);
--- a/src/main/java/mastdrift/lab/rig/EndpointCountMeasurement.java
+++ b/src/main/java/mastdrift/lab/rig/EndpointCountMeasurement.java
@@ -108,7 +108,7 @@
         Files.writeString(file, "{\"name\":\"g0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"discovery\":\"" + registry.address("g0") + "\",\"known\":" + registry.whole()
                 + ",\"settings\":" + DrainPlay.settings(1, 0) + "}");
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-                "-Xms48m", "-Xmx48m", "-XX:MaxDirectMemorySize=48m", "-XX:ReservedCodeCacheSize=24m", "-Xss512k", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main")
+                "-Xms72m", "-Xmx72m", "-XX:MaxDirectMemorySize=16m", "-XX:ReservedCodeCacheSize=24m", "-Xss512k", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main")
                 .redirectErrorStream(true);
         builder.environment().putAll(Map.of("NODE_NAME", "g0", "NODE_CONFIG", file.toString(), "NODE_LISTEN", "127.0.0.1:" + port));
         Process process = builder.start();
--- a/src/main/java/mastdrift/lab/soak/SoakGateway.java
+++ b/src/main/java/mastdrift/lab/soak/SoakGateway.java
@@ -29,7 +29,7 @@
     private static final int PORTS = 17_000;
     private static final int PORTS_APART = 601;
     private static final AtomicInteger NEXT_PORT = new AtomicInteger();
-    private static final int HEAP_MEGABYTES = 48;
+    private static final int HEAP_MEGABYTES = 72;
     private static final long HOLDS_APART_MICROS = 500_000;
 
     private final Terms terms;
@@ -79,7 +79,7 @@
 
     private void launch() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xss512k",
-                "-Xmx" + HEAP_MEGABYTES + "m", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main").redirectErrorStream(true);
+                "-Xmx" + HEAP_MEGABYTES + "m", "-XX:MaxDirectMemorySize=16m", "-cp", System.getProperty("java.class.path"), "mastdrift.net.Main").redirectErrorStream(true);
         builder.environment().putAll(Map.of("NODE_NAME", run.name, "NODE_CONFIG", terms.folder.resolve(run.name + ".json").toString(), "NODE_LISTEN", "127.0.0.1:" + port));
         process = builder.start();
         terms.signals.add(process);
--- a/src/main/java/mastdrift/limits/TurnShares.java
+++ b/src/main/java/mastdrift/limits/TurnShares.java
@@ -22,10 +22,10 @@
     public static final int BYTES_PER_UNIT = 256;
     /** Header fields whose decoding costs a unit. */
     public static final int FIELDS_PER_UNIT = 4;
-    /** The default shares: 256 requests in a turn, 32 of one connection, one of each at the least. */
-    private static final int DEFAULT_UNITS_PER_TURN = 256 * UNITS_PER_REQUEST;
+    /** The default shares: 64 requests in a turn, 32 of one connection, one of each at the least. */
+    private static final int DEFAULT_UNITS_PER_TURN = 64 * UNITS_PER_REQUEST;
     private static final int DEFAULT_UNITS_PER_CONNECTION = 32 * UNITS_PER_REQUEST;
-    private static final int DEFAULT_SEARCH_UNITS_PER_TURN = DEFAULT_UNITS_PER_TURN;
+    private static final int DEFAULT_SEARCH_UNITS_PER_TURN = 2 * DEFAULT_UNITS_PER_TURN;
 
     /** What one connection has used in a turn. */
     public static final class Share {
--- a/src/main/java/mastdrift/measure/PlatformRig.java
+++ b/src/main/java/mastdrift/measure/PlatformRig.java
@@ -20,7 +20,7 @@
 final class PlatformRig implements AutoCloseable {
 
     private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-            "-XX:-UsePerfData", "-Xms48m", "-Xmx48m", "-XX:MaxDirectMemorySize=48m", "-XX:ReservedCodeCacheSize=24m",
+            "-XX:-UsePerfData", "-Xms72m", "-Xmx72m", "-XX:MaxDirectMemorySize=16m", "-XX:ReservedCodeCacheSize=24m",
             "-Xss512k");
     private static final String SETTINGS = """
             {"allowed":{"cancel":true,"conn_idle":5000000,"dial_timeout":250000,"max_attempts":4,"max_open":20000,
--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -27,6 +28,7 @@
 import mastdrift.engine.RequestTracker;
 import mastdrift.engine.Responder;
 import mastdrift.engine.ResponseMessage;
+import mastdrift.limits.ByteBudget;
 import mastdrift.limits.ClientConnectionTable;
 import mastdrift.limits.ConnectionPhase;
 import mastdrift.limits.TurnShares;
@@ -35,7 +37,8 @@
  * One client's connection. Until its first byte arrives, this is the only handler in the pipeline: the first byte
  * adds the HTTP handlers in front of it, and they are removed again once the connection has been idle for a while.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements Responder, ConnectionAdmission.Evictable {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Responder, ConnectionAdmission.Evictable, RequestAssembler.Memory,
+        ByteBudget.Owner {
 
     // Requests that are queued on a connection behind the current one. Up to MAX_OVERFLOW_REQUESTS more are only
     // counted, and refused in their turn. Reading continues, since the close of a connection would otherwise go
@@ -48,10 +51,17 @@
             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "", Unpooled.EMPTY_BUFFER);
     // A request whose client sends on and on isn't forwarded, since the close may be behind that. It is refused after this.
     private static final long MAX_CATCH_UP_MICROS = 100_000;
+    // A request of the greatest length: a sender's system doesn't hold back what is behind so much, since buffers hold as much.
+    private static final int MAX_UNHELD_BYTES = RequestAssembler.MAX_BODY_BYTES + HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE;
+    // Longer than it takes until a sender whose receiver's buffer was full sends on.
+    private static final long STREAM_END_MICROS = 20_000;
     private static final int UNITS_BEFORE_ANSWER = TurnShares.UNITS_PER_REQUEST / 2;
 
-    /** A request, the earliest time from which it may have been waiting, and the turn in which it was read. */
-    private record ReceivedRequest(FullHttpRequest message, long waitingSinceMicros, long readTurn) { }
+    /**
+     * A request, the memory that is held for it, the earliest time from which it may have been waiting, and the turn in which
+     * it was read.
+     */
+    private record ReceivedRequest(FullHttpRequest message, int heldBytes, long waitingSinceMicros, long readTurn) { }
 
     private final HttpFront front;
     private final Channel channel;
@@ -62,9 +72,16 @@
     private StrictDecoder decoder;  // null while the HTTP handlers are not in the pipeline
     private final TurnShares.Share share = new TurnShares.Share();
     private boolean inputLeft;  // the last read may have left input unread
+    private long streamBytes;  // input since none was left
+    private long lastInputMicros;
+    private long openAsOfMicros;  // the client had not closed the connection by then
     private boolean searching;  // input is read to look for the close behind it, whatever the share of this turn
+    private RequestAssembler assembler;  // null likewise
+    private final ByteBudget.Account memory;
+    private int currentHeldBytes;  // of the memory, for the current request
     private ArrayDeque<ReceivedRequest> pipelined;  // requests behind the current one; null until there is one
     private int overflowCount;  // requests behind those, which will be refused
+    private boolean overflowPause;  // reading pauses until all of these have been refused
     // reading had to pause: the client's close may be far behind what was read, until all input has been read
     private boolean overflowed;
     private FullHttpRequest currentRequest;
@@ -86,6 +103,7 @@
         loop = front.loop;
         ledger = front.ledger;
         connections = front.connections;
+        memory = front.requestMemory.open(this);
     }
 
     @Override
@@ -107,8 +125,9 @@
         } else if (phase == ConnectionPhase.IDLE) {
             channel.pipeline().remove(StrictDecoder.class);
             channel.pipeline().remove(HttpResponseEncoder.class);
-            channel.pipeline().remove(RequestAggregator.class);
+            channel.pipeline().remove(assembler);
             decoder = null;
+            assembler = null;
             pipelined = null;
         }
     }
@@ -175,31 +194,33 @@
         if (exchange != null) {
             exchange.clientDisconnected();
         }
+        currentHeldBytes = 0;
+        memory.release(ledger.now(), memory.heldBytes());
         front.completeStopIfDone();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (message instanceof FullHttpRequest request) {
+        if (message instanceof RequestAssembler.Assembled request) {
             receiveRequest(request);
         } else {
             decoder = new StrictDecoder(new DecodingMeter());
-            channel.pipeline().addFirst(decoder, new HttpResponseEncoder(), new RequestAggregator());
+            assembler = new RequestAssembler(this);
+            channel.pipeline().addFirst(decoder, new HttpResponseEncoder(), assembler);
             channel.pipeline().fireChannelRead(message);
         }
     }
 
-    /** Takes ownership of the message. */
-    private void receiveRequest(FullHttpRequest message) {
+    /** Takes ownership of the message, and of the memory that is held for it. */
+    private void receiveRequest(RequestAssembler.Assembled assembled) {
+        FullHttpRequest message = assembled.isDropped() ? OVERFLOW_REQUEST : assembled.message();
         if (lastResponseWritten) {
             message.release();
+            release(assembled.heldBytes());
             return;
         }
         requestCompleted = true;
-        // A request found by the first wait after the accept may have been there as long as the connection.
-        long waitingSinceMicros = ledger.turnNumber() == openedTurn + 1 ? Math.min(earliestOpenMicros, ledger.earliestArrivalAt())
-                : ledger.earliestArrivalAt();
-        ReceivedRequest received = new ReceivedRequest(message, waitingSinceMicros, ledger.turnNumber());
+        ReceivedRequest received = new ReceivedRequest(message, assembled.heldBytes(), earliestInputMicros(), ledger.turnNumber());
         if (currentRequest == null) {
             startNext(received);
             return;
@@ -207,28 +228,98 @@
         if (pipelined == null) {
             pipelined = new ArrayDeque<>(2);
         }
-        if (!overflowed && overflowCount == 0 && pipelined.size() < MAX_PIPELINED_REQUESTS) {
+        if (!assembled.isDropped() && !refusesNext()) {
             pipelined.add(received);
+            updateReclaimable();
             return;
         }
-        message.release();
+        release(received);
         // a close would no longer be noticed: then no request of this connection may wait to be forwarded
         if (++overflowCount >= MAX_OVERFLOW_REQUESTS) {
             overflowed = true;
-            overflowCount += pipelined.size();
-            releasePipelined();
+            overflowPause = true;
+            refusePipelined();
             updateReading();
         }
     }
 
-    /** Reads on unless what was read before has to be worked off first. */
-    private void updateReading() {
-        channel.config().setAutoRead(!inputFailed && !overflowed && !(decoder != null && decoder.isBlocked()));
+    /**
+     * The earliest time at which the input that is read now may have arrived. What the first wait after the accept finds may
+     * have been there for as long as the connection.
+     */
+    private long earliestInputMicros() {
+        return ledger.turnNumber() == openedTurn + 1 ? Math.min(earliestOpenMicros, ledger.earliestArrivalAt())
+                : ledger.earliestArrivalAt();
+    }
+
+    private void release(ReceivedRequest request) {
+        request.message.release();
+        release(request.heldBytes);
+    }
+
+    /** Releases the queued requests, which will be refused. */
+    private void refusePipelined() {
+        overflowCount += pipelined.size();
+        releasePipelined();
     }
 
     private void releasePipelined() {
-        pipelined.forEach(request -> request.message.release());
+        pipelined.forEach(this::release);
         pipelined.clear();
+        updateReclaimable();
+    }
+
+    // ---- memory for requests
+
+    @Override
+    public boolean refusesNext() {
+        return currentRequest != null
+                && (overflowed || overflowCount > 0 || pipelined != null && pipelined.size() >= MAX_PIPELINED_REQUESTS);
+    }
+
+    @Override
+    public boolean isAnswering() {
+        return currentRequest != null;
+    }
+
+    @Override
+    public boolean reserve(int bytes) {
+        boolean reserved = memory.reserve(ledger.now(), bytes);
+        if (reserved) {
+            memory.setReclaimable(ledger.now(), true);
+        } else {
+            front.requestMemoryUsedUp();
+        }
+        return reserved;
+    }
+
+    @Override
+    public void release(int bytes) {
+        memory.release(ledger.now(), bytes);
+        updateReclaimable();
+    }
+
+    /** Drops all requests that are not in progress, and what has been received of the next one: they will be refused. */
+    @Override
+    public void reclaim() {
+        if (pipelined != null) {
+            refusePipelined();
+        }
+        if (assembler != null) {
+            assembler.drop();
+        }
+    }
+
+    private void updateReclaimable() {
+        boolean hasWaitingRequests = pipelined != null && !pipelined.isEmpty() || assembler != null && assembler.holdsMemory();
+        memory.setReclaimable(ledger.now(), hasWaitingRequests);
+    }
+
+    /** Reads on unless what was read before has to be worked off first. */
+    private void updateReading() {
+        boolean readsOn = !inputFailed && !overflowPause && !(decoder != null && decoder.isBlocked());
+        inputLeft |= !readsOn;
+        channel.config().setAutoRead(readsOn);
     }
 
     /** The next request in order; null if there is none. */
@@ -236,7 +327,7 @@
         ReceivedRequest next = pipelined == null ? null : pipelined.poll();
         if (next == null && overflowCount > 0) {
             overflowCount--;
-            return new ReceivedRequest(OVERFLOW_REQUEST, ledger.now(), ledger.turnNumber());
+            return new ReceivedRequest(OVERFLOW_REQUEST, 0, ledger.now(), ledger.turnNumber());
         }
         return next;
     }
@@ -244,11 +335,35 @@
     /** Input that did not complete a request is part of one. A read may also have found no input at all. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        RecvByteBufAllocator.Handle lastRead = channel.unsafe().recvBufAllocHandle();
-        inputLeft = lastRead.lastBytesRead() > 0 && lastRead.lastBytesRead() == lastRead.attemptedBytesRead();
+        recordRead(channel.unsafe().recvBufAllocHandle());
         inputDecoded();
     }
 
+    /**
+     * Records what a read shows of the client. It had not closed the connection if nothing is left to read, nor before the
+     * first bytes of a stream had arrived.
+     */
+    private void recordRead(RecvByteBufAllocator.Handle lastRead) {
+        int bytes = lastRead.lastBytesRead();
+        if (!inputLeft && isStreamOver()) {
+            streamBytes = 0;
+            openAsOfMicros = bytes == 0 ? ledger.now() : Math.max(openAsOfMicros, earliestInputMicros());
+        }
+        inputLeft = bytes > 0 && bytes == lastRead.attemptedBytesRead();
+        if (bytes > 0) {
+            streamBytes += bytes;
+            lastInputMicros = ledger.now();
+        }
+    }
+
+    /**
+     * Whether a client that has closed the connection has nothing left to send. After its close its system sends on what it
+     * holds: that has arrived if it can't have filled the receive buffer, or else once nothing more comes.
+     */
+    private boolean isStreamOver() {
+        return streamBytes <= MAX_UNHELD_BYTES || ledger.now() - lastInputMicros >= STREAM_END_MICROS;
+    }
+
     private void inputDecoded() {
         if (!requestCompleted && currentRequest == null && !lastResponseWritten && hasPartialRequest()) {
             connections.receivedPart(ledger.now(), entry);
@@ -306,6 +421,7 @@
 
     private void startNext(ReceivedRequest request) {
         if (request == null) {
+            overflowPause = false;
             updateReading();
             connections.moveTo(ledger.now(), entry, decoder.isBetweenRequests() ? ConnectionPhase.IDLE : ConnectionPhase.PART);
             if (front.isServingEnded() && entry.phase() == ConnectionPhase.IDLE) {
@@ -317,6 +433,8 @@
         }
         connections.moveTo(ledger.now(), entry, ConnectionPhase.BUSY);
         currentRequest = request.message;
+        currentHeldBytes = request.heldBytes;
+        updateReclaimable();
         // not within the read that delivered it, where reading again would find nothing
         long startedMicros = ledger.now();
         loop.execute(() -> begin(request, startedMicros));
@@ -329,18 +447,18 @@
             return;
         }
         front.turnShares.recordWork(ledger.turnNumber(), share, TurnShares.UNITS_PER_REQUEST - UNITS_BEFORE_ANSWER);
-        if (!channel.isActive() || currentRequest == OVERFLOW_REQUEST || !mayHaveUnreadInput(request)) {
+        if (!channel.isActive() || !isForwardable(request.message) || !mayHaveUnreadInput(request)) {
             processAndRelease(request, false);
             return;
         }
-        boolean allRead = readAllInput();
-        if (!allRead && channel.isActive() && ledger.now() - startedMicros < MAX_CATCH_UP_MICROS) {
+        boolean knownOpen = readAllInput() || isKnownOpen();
+        if (!knownOpen && channel.isActive() && ledger.now() - startedMicros < MAX_CATCH_UP_MICROS) {
             front.nextTurn.add(() -> begin(request, startedMicros));
             return;
         }
         // once all input behind it has been read, it is served like any other
-        overflowed &= !allRead;
-        processAndRelease(request, !allRead);
+        overflowed = overflowed && hasUnreadInput();
+        processAndRelease(request, !knownOpen);
     }
 
     /**
@@ -351,16 +469,21 @@
     private boolean mayHaveUnreadInput(ReceivedRequest request) {
         long closeUnnoticedMicros = request.readTurn == ledger.turnNumber()
                 ? Math.max(ledger.now() - request.waitingSinceMicros, ledger.maxUnreadMicros()) : ledger.maxUnreadMicros();
-        return hasUnreadInput() || closeUnnoticedMicros > RequestTracker.CHECK_INPUT_AFTER_MICROS;
+        return overflowed || hasUnreadInput() || closeUnnoticedMicros > RequestTracker.CHECK_INPUT_AFTER_MICROS;
+    }
+
+    /** Whether the client had not closed the connection a moment ago, though its input has not been read to the end. */
+    private boolean isKnownOpen() {
+        return channel.isActive() && ledger.now() - openAsOfMicros <= RequestTracker.CHECK_INPUT_AFTER_MICROS;
     }
 
     private boolean hasUnreadInput() {
-        return overflowed || inputLeft || decoder.isBlocked();
+        return inputLeft || decoder.isBlocked() || !isStreamOver();
     }
 
     /**
      * Reads until no input is left; returns false if there may be more, since the bound of this turn on such reads was
-     * reached.
+     * reached, or since the client's system may send on.
      */
     private boolean readAllInput() {
         searching = true;
@@ -370,9 +493,12 @@
             }
             while (decoder == null || !decoder.isBlocked()) {
                 UnreadInput.read(channel);
-                if (channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0 || !channel.isActive()) {
+                if (!channel.isActive()) {
                     return true;
                 }
+                if (channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0) {
+                    return isStreamOver();
+                }
                 if (!front.turnShares.maySearch(ledger.turnNumber())) {
                     return false;
                 }
@@ -408,7 +534,7 @@
             boolean isGet = message.method().equals(HttpMethod.GET);
             writeEmptyResponse(!isGet ? HttpResponseStatus.METHOD_NOT_ALLOWED
                     : front.isStopping() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, false);
-        } else if (matchesPath(message.uri(), "/api") || message.uri().startsWith("/api/")) {
+        } else if (isApiPath(message.uri())) {
             handleApiRequest(message, ledger.now() - request.waitingSinceMicros);
         } else {
             writeEmptyResponse(HttpResponseStatus.NOT_FOUND, false);
@@ -423,10 +549,22 @@
         if (fault instanceof StrictDecoder.TooManyFieldsException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
+        if (fault instanceof RequestAssembler.UnsupportedExpectationException) {
+            return HttpResponseStatus.EXPECTATION_FAILED;
+        }
         return fault instanceof StrictDecoder.UnsupportedTransferCodingException ? HttpResponseStatus.NOT_IMPLEMENTED
                 : HttpResponseStatus.BAD_REQUEST;
     }
 
+    /** Whether a request may be forwarded, as far as it can be told without reading its head. */
+    private static boolean isForwardable(FullHttpRequest message) {
+        return message != OVERFLOW_REQUEST && message.decoderResult().isSuccess() && isApiPath(message.uri());
+    }
+
+    private static boolean isApiPath(String uri) {
+        return matchesPath(uri, "/api") || uri.startsWith("/api/");
+    }
+
     /** Whether the request target is this path, with a query or without. */
     private static boolean matchesPath(String uri, String path) {
         return uri.startsWith(path) && (uri.length() == path.length() || "?#".indexOf(uri.charAt(path.length())) >= 0);
@@ -479,7 +617,7 @@
      */
     @Override
     public boolean isClientConnected() {
-        return readAllInput() && channel.isActive();
+        return readAllInput() ? channel.isActive() : isKnownOpen();
     }
 
     @Override
@@ -533,6 +671,8 @@
         HttpUtil.setContentLength(response, response.content().readableBytes());
         HttpUtil.setKeepAlive(response, keepAlive);
         connections.moveTo(ledger.now(), entry, ConnectionPhase.UNREAD);
+        release(currentHeldBytes);
+        currentHeldBytes = 0;
         channel.writeAndFlush(response).addListener((ChannelFutureListener) written -> {
             currentRequest = null;
             if (keepAlive && written.isSuccess()) {
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -30,9 +30,11 @@
 import mastdrift.engine.RequestTracker;
 import mastdrift.engine.Pool;
 import mastdrift.engine.ShutdownSchedule;
+import mastdrift.limits.ByteBudget;
 import mastdrift.limits.ClientConnectionTable;
 import mastdrift.limits.ConnectionLimit;
 import mastdrift.limits.ConnectionPhase;
+import mastdrift.limits.MessageMemory;
 import mastdrift.limits.PhaseBounds;
 import mastdrift.limits.TurnShares;
 
@@ -63,6 +65,11 @@
     // Connections that are still open this long after all requests should have been answered are logged.
     private static final long STOP_LOG_DELAY_MICROS = 50_000;
     private static final int MAX_LOGGED_IDS = 20;
+    private static final long LOG_INTERVAL_MICROS = 10_000_000;
+    // What every connection may hold of requests, however much others hold: a request as they usually are.
+    private static final int FREE_REQUEST_BYTES_PER_CONNECTION = 4_096;
+    // A request that is complete after this, or in progress by then, isn't given up for others.
+    private static final long MIN_RECLAIM_AGE_MICROS = 250_000;
     // Interval at which connections that exceeded the time bound of their phase are searched for, and how many of each
     // phase are closed at a time: closing ten thousand at once would delay everything else on the loop.
     private static final long SWEEP_INTERVAL_MILLIS = 250;
@@ -83,6 +90,8 @@
     final Acceptor acceptor;
     final TurnShares turnShares = new TurnShares();
     final NextTurn nextTurn;
+    final ByteBudget requestMemory;
+    private long memoryLoggedAtMicros = -LOG_INTERVAL_MICROS;
     final ConnectionAdmission<ClientConnection> admission;
     private boolean stopping;
     private boolean servingEnded;
@@ -98,6 +107,12 @@
     /** Holds about {@code maxConnections} connections, with the given time bounds. */
     public HttpFront(EventLoop loop, RequestTracker ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
             int maxConnections, PhaseBounds phaseBounds, Consumer<String> log) {
+        this(loop, ledger, router, classes, tenants, maxConnections, phaseBounds, MessageMemory.ofThisProcess().requestBytes(), log);
+    }
+
+    /** As above; {@code requestBytes} bounds the memory for requests of all connections together. */
+    public HttpFront(EventLoop loop, RequestTracker ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
+            int maxConnections, PhaseBounds phaseBounds, long requestBytes, Consumer<String> log) {
         classes.forEach(type -> this.classes.put(type.name(), type));
         connections = new ClientConnectionTable<>(phaseBounds, longestDeadlineMicros() + RESPONSE_LATENESS_MICROS);
         this.loop = loop;
@@ -105,6 +120,7 @@
         this.router = router;
         this.log = log;
         nextTurn = new NextTurn(loop);
+        requestMemory = new ByteBudget(requestBytes, FREE_REQUEST_BYTES_PER_CONNECTION, MIN_RECLAIM_AGE_MICROS);
         acceptor = new Acceptor(loop, ledger, this::closeOneToAccept, log);
         admission = new ConnectionAdmission<>(connections, new ConnectionLimit(maxConnections), acceptor, ledger::now, log);
         requestReader = new ApiRequest.Reader(this.classes, tenants.stream().map(Tenant::name).collect(Collectors.toSet()));
@@ -164,6 +180,7 @@
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Acceptor.MAX_ACCEPTS_PER_TURN))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                 // one read of a connection in a turn: its next input waits until the others have been read
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES,
                         INITIAL_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1))
@@ -213,6 +230,16 @@
         loop.schedule(this::logOpenConnections, answeredInMicros + STOP_LOG_DELAY_MICROS, TimeUnit.MICROSECONDS);
     }
 
+    /** A request was dropped, and will be refused, since there is no memory for it. */
+    void requestMemoryUsedUp() {
+        if (ledger.now() - memoryLoggedAtMicros >= LOG_INTERVAL_MICROS) {
+            memoryLoggedAtMicros = ledger.now();
+            log.accept("memory for requests is used up: " + requestMemory.usedBytes() + " of " + requestMemory.capacityBytes()
+                    + " bytes beside " + FREE_REQUEST_BYTES_PER_CONNECTION + " for each connection; refusals so far: "
+                    + requestMemory.rejections());
+        }
+    }
+
     /** Whether the shutdown has begun. */
     boolean isStopping() {
         return stopping;
--- a/src/test/java/mastdrift/net/EndedWatchTest.java
+++ b/src/test/java/mastdrift/net/EndedWatchTest.java
@@ -155,7 +155,7 @@
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":256},\"known\":" + listWithBoth()
                 + ",\"settings\":" + GATEWAY_SETTINGS + "}");
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx48m",
+                "-XX:TieredStopAtLevel=1", "-Xmx72m",
                 "-cp", Loopback.classPath(), "mastdrift.net.Main").redirectErrorStream(true);
         builder.environment().putAll(Map.of("NODE_NAME", "g" + number, "NODE_CONFIG", file.toString(), "NODE_LISTEN",
                 "127.0.0.1:0",
