Bound the memory and the work for hosts' answers, in sum over all connections

Seen: with requests bounded, hosts that send 60,000 of 60,001 bytes and stop made a gateway run out of its 16 MB of direct memory ("Cannot reserve 32768 bytes"): all requests of ordinary clients were lost for 4 s, and its watch of discovery was lost too.

Cause: as for requests (ByteBudget): a bound for each answer, none for their sum, and parts of answers that kept their receive buffers. The work on an answer had no bound a turn either: one in chunks of one byte costs 65,000 steps of decoding.

Change: ResponseAssembler takes the place of Netty's aggregator on connections to hosts, within a budget that all hosts and all unread answers share; an answer that has no room ends its attempt as DROPPED. An answer that a client's system doesn't take at once counts too, and where the budget is used up the client that has not read its answer for the longest is closed.

--- a/src/main/java/mastdrift/lab/flood/CrowdKind.java
+++ b/src/main/java/mastdrift/lab/flood/CrowdKind.java
@@ -28,8 +28,12 @@
     MANY_BODIES((Bytes.POST_HEAD + Bytes.BODY).repeat(8), Integer.MAX_VALUE),
     /** Sends eight requests with large bodies at once, and closes the connection. */
     MANY_BODIES_THEN_LEAVE((Bytes.POST_HEAD + Bytes.BODY).repeat(8), Integer.MAX_VALUE),
+    /** Sends eight requests at once, and stays. */
+    MANY_REQUESTS(Bytes.GET_HEAD.repeat(8), Integer.MAX_VALUE),
     /** Sends requests and reads none of the answers. */
     NEVER_READS(Bytes.GET_HEAD.repeat(8), Integer.MAX_VALUE),
+    /** Likewise, where the answers are large. */
+    NEVER_READS_LARGE(Bytes.GET_HEAD.repeat(8), Integer.MAX_VALUE),
     /** Sends a chunked body in chunks of one byte, and never its end. */
     TINY_CHUNKS(Bytes.POST_HEAD.replace("Content-Length: 65536", "Transfer-Encoding: chunked") + "1\r\nx\r\n".repeat(20_000), 600);
 
@@ -71,8 +75,13 @@
         return this == MANY_BODIES_THEN_LEAVE;
     }
 
+    /** Bytes by which hosts' answers are to be longer than they usually are. */
+    int answerPaddingBytes() {
+        return this == NEVER_READS_LARGE ? 60_000 : 0;
+    }
+
     /** Whether answers are read. */
     boolean reads() {
-        return this != NEVER_READS;
+        return this != NEVER_READS && this != NEVER_READS_LARGE;
     }
 }
--- a/src/main/java/mastdrift/limits/ByteBudget.java
+++ b/src/main/java/mastdrift/limits/ByteBudget.java
@@ -108,6 +108,11 @@
         return usedBytes;
     }
 
+    /** The part of what each owner holds that doesn't count. */
+    public long freeBytesPerOwner() {
+        return freeBytesPerOwner;
+    }
+
     /** The bytes that may count against the budget. */
     public long capacityBytes() {
         return capacityBytes;
--- a/src/main/java/mastdrift/limits/MessageMemory.java
+++ b/src/main/java/mastdrift/limits/MessageMemory.java
@@ -9,6 +9,11 @@
  */
 public record MessageMemory(long requestBytes, long responseBytes) {
 
+    // What every connection may hold, however much others hold: a message as they usually are.
+    private static final int FREE_BYTES_PER_CONNECTION = 4_096;
+    // A request that is complete after this, or in progress by then, isn't given up for others.
+    private static final long REQUEST_MIN_RECLAIM_AGE_MICROS = 250_000;
+
     private static final int HEAP_FRACTION = 8;
     private static final int PROCESS_FRACTION = 20;
     private static final long MIN_BYTES = 1 << 20;
@@ -21,6 +26,16 @@
         return new MessageMemory(bounded, bounded);
     }
 
+    /** The budget for requests. */
+    public ByteBudget requestBudget() {
+        return new ByteBudget(requestBytes, FREE_BYTES_PER_CONNECTION, REQUEST_MIN_RECLAIM_AGE_MICROS);
+    }
+
+    /** The budget for responses. A response that isn't taken at once by its client's system is unread, and may be given up. */
+    public ByteBudget responseBudget() {
+        return new ByteBudget(responseBytes, FREE_BYTES_PER_CONNECTION, 0);
+    }
+
     /** Of this process, without a memory limit but its heap. */
     public static MessageMemory ofThisProcess() {
         return of(Runtime.getRuntime().maxMemory(), Long.MAX_VALUE);
--- a/src/main/java/mastdrift/limits/TurnShares.java
+++ b/src/main/java/mastdrift/limits/TurnShares.java
@@ -12,16 +12,17 @@
  * <p>Looking for the close of a connection behind its unread input is work that can't wait. It has a bound of its own, and a
  * caller that reaches it has to assume that the client may have left.
  *
- * <p>Reads no clock. Not thread-safe.
+ * <p>Turn 0 stands for a loop that doesn't report its turns: nothing is bounded then. Reads no clock. Not thread-safe.
  */
 public final class TurnShares {
 
-    /** Units that decoding a request and answering it cost together, at most half of them before its answer. */
-    public static final int UNITS_PER_REQUEST = 16;
-    /** Bytes whose decoding costs a unit. */
-    public static final int BYTES_PER_UNIT = 256;
-    /** Header fields whose decoding costs a unit. */
-    public static final int FIELDS_PER_UNIT = 4;
+    /** Units that answering a request costs once it has been decoded. */
+    public static final int UNITS_PER_ANSWER = 8;
+    /** Units that decoding a usual request and answering it cost together. */
+    private static final int UNITS_PER_REQUEST = 2 * UNITS_PER_ANSWER;
+    private static final int UNITS_PER_MESSAGE = 4;
+    private static final int BYTES_PER_UNIT = 256;
+    private static final int FIELDS_PER_UNIT = 4;
     /** The default shares: 64 requests in a turn, 32 of one connection, one of each at the least. */
     private static final int DEFAULT_UNITS_PER_TURN = 64 * UNITS_PER_REQUEST;
     private static final int DEFAULT_UNITS_PER_CONNECTION = 32 * UNITS_PER_REQUEST;
@@ -54,6 +55,11 @@
         this.searchUnitsPerTurn = searchUnitsPerTurn;
     }
 
+    /** The units that one step of decoding costs, by the bytes and header fields that it has consumed. */
+    public static int decodingUnits(int bytes, int fields, boolean messageCompleted) {
+        return 1 + bytes / BYTES_PER_UNIT + fields / FIELDS_PER_UNIT + (messageCompleted ? UNITS_PER_MESSAGE : 0);
+    }
+
     /** Whether a connection may do more work in this turn. */
     public boolean mayWork(long currentTurn, Share share) {
         enter(currentTurn, share);
@@ -81,14 +87,14 @@
 
     private void enter(long currentTurn, Share share) {
         enter(currentTurn);
-        if (share.turn != currentTurn) {
+        if (share.turn != currentTurn || currentTurn == 0) {
             share.turn = currentTurn;
             share.usedUnits = 0;
         }
     }
 
     private void enter(long currentTurn) {
-        if (turn != currentTurn) {
+        if (turn != currentTurn || currentTurn == 0) {
             turn = currentTurn;
             usedUnits = 0;
             searchUnits = 0;
--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,7 +56,6 @@
     private static final int MAX_UNHELD_BYTES = RequestAssembler.MAX_BODY_BYTES + HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE;
     // Longer than it takes until a sender whose receiver's buffer was full sends on.
     private static final long STREAM_END_MICROS = 20_000;
-    private static final int UNITS_BEFORE_ANSWER = TurnShares.UNITS_PER_REQUEST / 2;
 
     /**
      * A request, the memory that is held for it, the earliest time from which it may have been waiting, and the turn in which
@@ -78,6 +78,7 @@
     private boolean searching;  // input is read to look for the close behind it, whatever the share of this turn
     private RequestAssembler assembler;  // null likewise
     private final ByteBudget.Account memory;
+    private final ByteBudget.Account unreadMemory;  // for the response that the client has not read yet
     private int currentHeldBytes;  // of the memory, for the current request
     private ArrayDeque<ReceivedRequest> pipelined;  // requests behind the current one; null until there is one
     private int overflowCount;  // requests behind those, which will be refused
@@ -104,6 +105,7 @@
         ledger = front.ledger;
         connections = front.connections;
         memory = front.requestMemory.open(this);
+        unreadMemory = front.responseMemory.open(this::giveUpResponse);
     }
 
     @Override
@@ -196,6 +198,7 @@
         }
         currentHeldBytes = 0;
         memory.release(ledger.now(), memory.heldBytes());
+        releaseUnreadMemory();
         front.completeStopIfDone();
     }
 
@@ -288,7 +291,7 @@
         if (reserved) {
             memory.setReclaimable(ledger.now(), true);
         } else {
-            front.requestMemoryUsedUp();
+            front.memoryUsedUp(front.requestMemory);
         }
         return reserved;
     }
@@ -399,7 +402,7 @@
     }
 
     /** Bounds what is decoded of this connection in a turn. */
-    private final class DecodingMeter implements StrictDecoder.WorkMeter {
+    private final class DecodingMeter implements WorkMeter {
 
         @Override
         public boolean mayDecode() {
@@ -409,8 +412,7 @@
 
         @Override
         public void decoded(int bytes, int fields, boolean requestWasCompleted) {
-            int units = 1 + bytes / TurnShares.BYTES_PER_UNIT + fields / TurnShares.FIELDS_PER_UNIT
-                    + (requestWasCompleted ? UNITS_BEFORE_ANSWER - 4 : 0);
+            int units = TurnShares.decodingUnits(bytes, fields, requestWasCompleted);
             if (searching) {
                 front.turnShares.recordSearch(ledger.turnNumber(), units);
             } else {
@@ -446,7 +448,7 @@
             front.nextTurn.add(() -> begin(request, startedMicros));
             return;
         }
-        front.turnShares.recordWork(ledger.turnNumber(), share, TurnShares.UNITS_PER_REQUEST - UNITS_BEFORE_ANSWER);
+        front.turnShares.recordWork(ledger.turnNumber(), share, TurnShares.UNITS_PER_ANSWER);
         if (!channel.isActive() || !isForwardable(request.message) || !mayHaveUnreadInput(request)) {
             processAndRelease(request, false);
             return;
@@ -673,7 +675,13 @@
         connections.moveTo(ledger.now(), entry, ConnectionPhase.UNREAD);
         release(currentHeldBytes);
         currentHeldBytes = 0;
-        channel.writeAndFlush(response).addListener((ChannelFutureListener) written -> {
+        int bytes = response.content().readableBytes();
+        ChannelFuture flushed = channel.writeAndFlush(response);
+        if (!flushed.isDone()) {
+            holdUnread(bytes);
+        }
+        flushed.addListener((ChannelFutureListener) written -> {
+            releaseUnreadMemory();
             currentRequest = null;
             if (keepAlive && written.isSuccess()) {
                 startNext(pollNext());
@@ -683,6 +691,26 @@
         });
     }
 
+    /** Accounts for a response that the client's system has not taken at once. */
+    private void holdUnread(int bytes) {
+        if (unreadMemory.reserve(ledger.now(), bytes)) {
+            unreadMemory.setReclaimable(ledger.now(), true);
+        } else {
+            giveUpResponse();
+        }
+    }
+
+    private void releaseUnreadMemory() {
+        unreadMemory.release(ledger.now(), unreadMemory.heldBytes());
+    }
+
+    /** Closes the connection, whose client doesn't read its response, since the memory is needed for others. */
+    private void giveUpResponse() {
+        front.memoryUsedUp(front.responseMemory);
+        releaseUnreadMemory();
+        close();
+    }
+
     /**
      * Closes the connection after its last response. Unread input would turn the close into a reset, which may
      * discard the response, so it is read and dropped first.
--- a/src/main/java/mastdrift/net/ConnectionPool.java
+++ b/src/main/java/mastdrift/net/ConnectionPool.java
@@ -1,6 +1,7 @@
 package mastdrift.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -8,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
@@ -27,7 +27,10 @@
 import mastdrift.engine.Endpoint;
 import mastdrift.engine.Timers;
 import mastdrift.engine.Transport;
+import mastdrift.limits.ByteBudget;
 import mastdrift.limits.IdleRetention;
+import mastdrift.limits.MessageMemory;
+import mastdrift.limits.TurnShares;
 
 /**
  * Connections to endpoints: dials new ones, keeps idle ones for reuse for a bounded time, and bounds how many there
@@ -37,8 +40,6 @@
 final class ConnectionPool {
 
     static final String EXPIRES_HEADER = "X-Expires-In-Ms";
-    // The longest body, which bounds the memory that one attempt can hold.
-    private static final int MAX_BODY_BYTES = 64 << 10;
     // Fraction of the time after which endpoints close idle connections. A request written in the remaining time could
     // cross with that close.
     private static final double IDLE_TIMEOUT_FRACTION = 0.8;
@@ -46,6 +47,9 @@
     // milliseconds after the first; on a connection that carries the next request by then it would be taken for that
     // request's answer. This is several times as long.
     static final long MIN_IDLE_BEFORE_REUSE_MICROS = 25_000;
+    private static final int MIN_READ_BYTES = 256;
+    private static final int INITIAL_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 32 << 10;
     // Connections that have been idle for too long are closed at least this often.
     private static final long MAX_SWEEP_INTERVAL_MICROS = 250_000;
 
@@ -61,38 +65,61 @@
     private final int maxConnections;
     private final Map<String, IdleConnections> idleByUid = new HashMap<>();
     private final Consumer<String> faultLog;
+    private final AnswerLimits answerLimits;
+    private final TurnShares turnShares = new TurnShares();
+    private final NextTurn nextTurn;
     private Transport.StrayBytesListener strayListener;  // null where bytes are not counted
     private int connectionCount;
     private boolean closed;
 
+    /** What bounds the memory and the work that endpoints' answers cost. */
+    record AnswerLimits(ByteBudget memory, LongSupplier turnNumber) {
+
+        /** Memory by the size of this process's heap, and no bound on work. */
+        static AnswerLimits defaults() {
+            return new AnswerLimits(MessageMemory.ofThisProcess().responseBudget(), () -> 0);
+        }
+    }
+
     /** Opens {@code maxConnections} connections at most; durations are in microseconds. */
     ConnectionPool(EventLoop loop, LongSupplier clock, Timers timers, long dialTimeoutMicros, long idleTimeoutMicros,
             int maxConnections, Consumer<String> faultLog) {
-        this(loop, clock, timers, dialTimeoutMicros, idleTimeoutMicros, maxConnections, faultLog,
+        this(loop, clock, timers, dialTimeoutMicros, idleTimeoutMicros, maxConnections, AnswerLimits.defaults(), faultLog,
                 NioSocketChannel::new);
     }
 
     /** As above, with sockets made by the given factory. */
     ConnectionPool(EventLoop loop, LongSupplier clock, Timers timers, long dialTimeoutMicros, long idleTimeoutMicros,
             int maxConnections, Consumer<String> faultLog, Supplier<? extends Channel> socketFactory) {
+        this(loop, clock, timers, dialTimeoutMicros, idleTimeoutMicros, maxConnections, AnswerLimits.defaults(), faultLog,
+                socketFactory);
+    }
+
+    /** As above, with the given limits on answers. */
+    ConnectionPool(EventLoop loop, LongSupplier clock, Timers timers, long dialTimeoutMicros, long idleTimeoutMicros,
+            int maxConnections, AnswerLimits answerLimits, Consumer<String> faultLog, Supplier<? extends Channel> socketFactory) {
         this.loop = loop;
         this.clock = clock;
         this.timers = timers;
         this.maxConnections = maxConnections;
         this.faultLog = faultLog;
+        this.answerLimits = answerLimits;
+        nextTurn = new NextTurn(loop);
         long maxIdleMicros = (long) (idleTimeoutMicros * IDLE_TIMEOUT_FRACTION);
         idleLimit = new IdleRetention(maxIdleMicros);
         bootstrap = new Bootstrap().group(loop).channelFactory(() -> strayListener == null ? socketFactory.get()
                 : CountedChannel.create())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES,
+                        MAX_READ_BYTES).maxMessagesPerRead(1))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutMicros / 1000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        AnswerDecoder decoder = new AnswerDecoder();
-                        channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
-                                new HttpObjectAggregator(MAX_BODY_BYTES),
-                                new EndpointConnection(ConnectionPool.this, channel, decoder, strayListener != null));
+                        EndpointConnection connection = new EndpointConnection(ConnectionPool.this, channel, strayListener != null);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(),
+                                new ResponseAssembler(answerLimits.memory, clock), connection);
                     }
                 });
         long sweepMicros = Math.min(maxIdleMicros / 8 + 1, MAX_SWEEP_INTERVAL_MICROS);
@@ -290,6 +317,21 @@
         return timers;
     }
 
+    /** The number of the event loop's turn. */
+    long turnNumber() {
+        return answerLimits.turnNumber.getAsLong();
+    }
+
+    /** The shares of the connections in the turns of the event loop. */
+    TurnShares turnShares() {
+        return turnShares;
+    }
+
+    /** Runs the task in the next turn of the event loop. */
+    void inNextTurn(Runnable task) {
+        nextTurn.add(task);
+    }
+
     void logFault(String line) {
         faultLog.accept(line);
     }
--- a/src/main/java/mastdrift/net/EndpointConnection.java
+++ b/src/main/java/mastdrift/net/EndpointConnection.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import mastdrift.Balancer.Outcome;
 import mastdrift.engine.Endpoint;
+import mastdrift.limits.TurnShares;
 
 /**
  * One connection to an endpoint, which carries one attempt at a time. {@link #write} is the only place where an
@@ -31,7 +32,8 @@
 
     private final ConnectionPool pool;
     private final Channel channel;
-    private final AnswerDecoder decoder;
+    private final AnswerDecoder decoder = new AnswerDecoder(new DecodingMeter());
+    private final TurnShares.Share share = new TurnShares.Share();
     private final boolean countsBytes;
     private Endpoint endpoint;
     private String hostHeader;
@@ -41,15 +43,15 @@
     private boolean pooled;  // offered to the pool; remains set until the next attempt is written
     private boolean firstAttempt;  // the current attempt is the first on this connection
     private boolean broken;  // reset or not decodable: an answer that ends with the connection is incomplete
+    private boolean decodingScheduled;  // for the next turn
     private int interimAnswers;
     private long idleSince;
     private long reportedSentBytes;
     private long reportedReceivedBytes;
 
-    EndpointConnection(ConnectionPool pool, Channel channel, AnswerDecoder decoder, boolean countsBytes) {
+    EndpointConnection(ConnectionPool pool, Channel channel, boolean countsBytes) {
         this.pool = pool;
         this.channel = channel;
-        this.decoder = decoder;
         this.countsBytes = countsBytes;
     }
 
@@ -58,6 +60,11 @@
         hostHeader = NetUtil.toSocketAddressString(connectedEndpoint.address());
     }
 
+    /** The decoder of its input, to be put ahead of it. */
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
     Endpoint endpoint() {
         return endpoint;
     }
@@ -189,10 +196,19 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        inputDecoded();
+    }
+
+    private void inputDecoded() {
         if (attempt != null) {
             if (decoder.isInProgress()) {
                 attempt.startStallTimeout(pool.timers(), MAX_ANSWER_STALL_MICROS);
             }
+            if (decoder.isBlocked() && !decodingScheduled) {
+                decodingScheduled = true;
+                channel.config().setAutoRead(false);
+                pool.inNextTurn(this::resumeDecoding);
+            }
         } else if (reusable && !decoder.isInProgress() && endpoint.isInService()) {
             interimAnswers = 0;
             becomeIdle();
@@ -203,6 +219,36 @@
         reusable = false;
     }
 
+    /** Goes on with input that was beyond the connection's share of an earlier turn. */
+    private void resumeDecoding() {
+        decodingScheduled = false;
+        if (!channel.isActive()) {
+            return;
+        }
+        ChannelHandlerContext decoderContext = channel.pipeline().context(decoder);
+        try {
+            decoder.resume(decoderContext);
+        } catch (Exception fault) {
+            decoderContext.fireExceptionCaught(fault);
+        }
+        channel.config().setAutoRead(!decoder.isBlocked());
+        inputDecoded();
+    }
+
+    /** Bounds what is decoded of this connection in a turn. */
+    private final class DecodingMeter implements WorkMeter {
+
+        @Override
+        public boolean mayDecode() {
+            return pool.turnShares().mayWork(pool.turnNumber(), share);
+        }
+
+        @Override
+        public void decoded(int bytes, int fields, boolean messageCompleted) {
+            pool.turnShares().recordWork(pool.turnNumber(), share, TurnShares.decodingUnits(bytes, fields, messageCompleted));
+        }
+    }
+
     private static Outcome outcome(FullHttpResponse answer) {
         return switch (answer.status().code()) {
             case 200 -> Outcome.DELIVERED;
--- a/src/main/java/mastdrift/net/Gateway.java
+++ b/src/main/java/mastdrift/net/Gateway.java
@@ -13,6 +13,8 @@
 import mastdrift.engine.Pool;
 import mastdrift.engine.HostListSource;
 import mastdrift.engine.Transport;
+import mastdrift.limits.ByteBudget;
+import mastdrift.limits.MessageMemory;
 
 /** The platform's gateway: a single pool, to which every request goes, with hosts from discovery. */
 final class Gateway implements HttpFront.Router {
@@ -21,6 +23,8 @@
     private final Pool pool;
     private final RequestTracker ledger;
     private final Discovery discovery;
+    private final ByteBudget requestMemory;
+    private final ByteBudget responseMemory;
     private final CompletableFuture<Void> firstList = new CompletableFuture<>();
     private boolean discoveryHeld;  // whether the module's watch is held back until allowDiscovery()
     private boolean watchRequested;  // whether the module has asked for a watch
@@ -31,7 +35,10 @@
         this.out = out;
         EventLoop loop = timedLoop.loop();
         ledger = new RequestTracker(timedLoop.timers(), timedLoop.clock(), timedLoop.turns(), maxOpenRequests, this::log);
-        Transport transport = new HttpTransport(timedLoop, config.settings(), maxHostConnections, this::log);
+        MessageMemory memory = MessageMemory.of(Runtime.getRuntime().maxMemory(), config.maxMemoryBytes());
+        requestMemory = memory.requestBudget();
+        responseMemory = memory.responseBudget();
+        Transport transport = new HttpTransport(timedLoop, config.settings(), maxHostConnections, responseMemory, this::log);
         HostListSource source = new HostListSource() {
             @Override
             public void watch(boolean active) {
@@ -77,6 +84,16 @@
         return ledger;
     }
 
+    /** The memory for requests of clients. */
+    ByteBudget requestMemory() {
+        return requestMemory;
+    }
+
+    /** The memory for responses of hosts. */
+    ByteBudget responseMemory() {
+        return responseMemory;
+    }
+
     Discovery discovery() {
         return discovery;
     }
--- a/src/main/java/mastdrift/net/GatewayConfig.java
+++ b/src/main/java/mastdrift/net/GatewayConfig.java
@@ -19,7 +19,7 @@
  * The configuration that a gateway starts with; reading an invalid one throws IllegalArgumentException with a message
  * of one line.
  */
-record GatewayConfig(InetSocketAddress listen, InetSocketAddress discovery, int maxSockets, HostList knownList,
+record GatewayConfig(InetSocketAddress listen, InetSocketAddress discovery, int maxSockets, long maxMemoryBytes, HostList knownList,
         Settings settings) {
 
     /** Reads the file that {@code NODE_CONFIG} names; the other environment variables override what it says. */
@@ -35,11 +35,16 @@
         }
         return new GatewayConfig(parseAddress(environment.getOrDefault("NODE_LISTEN", text(root, "listen"))),
                 parseAddress(environment.getOrDefault("NODE_DISCOVERY", text(root, "discovery"))),
-                root.get("limits") instanceof Map<?, ?> limits && limits.get("sockets") instanceof Integer sockets
-                        ? sockets : Integer.MAX_VALUE,
+                (int) limit(root, "sockets", Integer.MAX_VALUE), limit(root, "memory_mb", Long.MAX_VALUE >> 20) << 20,
                 HostList.parse(root.get("known")), settings);
     }
 
+    /** A limit that the platform sets; {@code maximum} if it sets none. */
+    private static long limit(Map<String, Object> root, String name, long maximum) {
+        return root.get("limits") instanceof Map<?, ?> limits && limits.get(name) instanceof Integer limit ? Math.min(limit, maximum)
+                : maximum;
+    }
+
     /** Reads discovery's address from the file again. */
     static InetSocketAddress discovery(Map<String, String> environment) {
         return parseAddress(text(readFile(environment), "discovery"));
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -66,10 +66,6 @@
     private static final long STOP_LOG_DELAY_MICROS = 50_000;
     private static final int MAX_LOGGED_IDS = 20;
     private static final long LOG_INTERVAL_MICROS = 10_000_000;
-    // What every connection may hold of requests, however much others hold: a request as they usually are.
-    private static final int FREE_REQUEST_BYTES_PER_CONNECTION = 4_096;
-    // A request that is complete after this, or in progress by then, isn't given up for others.
-    private static final long MIN_RECLAIM_AGE_MICROS = 250_000;
     // Interval at which connections that exceeded the time bound of their phase are searched for, and how many of each
     // phase are closed at a time: closing ten thousand at once would delay everything else on the loop.
     private static final long SWEEP_INTERVAL_MILLIS = 250;
@@ -91,6 +87,7 @@
     final TurnShares turnShares = new TurnShares();
     final NextTurn nextTurn;
     final ByteBudget requestMemory;
+    final ByteBudget responseMemory;
     private long memoryLoggedAtMicros = -LOG_INTERVAL_MICROS;
     final ConnectionAdmission<ClientConnection> admission;
     private boolean stopping;
@@ -107,12 +104,16 @@
     /** Holds about {@code maxConnections} connections, with the given time bounds. */
     public HttpFront(EventLoop loop, RequestTracker ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
             int maxConnections, PhaseBounds phaseBounds, Consumer<String> log) {
-        this(loop, ledger, router, classes, tenants, maxConnections, phaseBounds, MessageMemory.ofThisProcess().requestBytes(), log);
+        this(loop, ledger, router, classes, tenants, maxConnections, phaseBounds, MessageMemory.ofThisProcess().requestBudget(),
+                MessageMemory.ofThisProcess().responseBudget(), log);
     }
 
-    /** As above; {@code requestBytes} bounds the memory for requests of all connections together. */
+    /**
+     * As above; {@code requestMemory} bounds the memory for requests of all connections together, {@code responseMemory} that
+     * for responses, which transports may use too.
+     */
     public HttpFront(EventLoop loop, RequestTracker ledger, Router router, List<RequestClass> classes, List<Tenant> tenants,
-            int maxConnections, PhaseBounds phaseBounds, long requestBytes, Consumer<String> log) {
+            int maxConnections, PhaseBounds phaseBounds, ByteBudget requestMemory, ByteBudget responseMemory, Consumer<String> log) {
         classes.forEach(type -> this.classes.put(type.name(), type));
         connections = new ClientConnectionTable<>(phaseBounds, longestDeadlineMicros() + RESPONSE_LATENESS_MICROS);
         this.loop = loop;
@@ -120,7 +121,8 @@
         this.router = router;
         this.log = log;
         nextTurn = new NextTurn(loop);
-        requestMemory = new ByteBudget(requestBytes, FREE_REQUEST_BYTES_PER_CONNECTION, MIN_RECLAIM_AGE_MICROS);
+        this.requestMemory = requestMemory;
+        this.responseMemory = responseMemory;
         acceptor = new Acceptor(loop, ledger, this::closeOneToAccept, log);
         admission = new ConnectionAdmission<>(connections, new ConnectionLimit(maxConnections), acceptor, ledger::now, log);
         requestReader = new ApiRequest.Reader(this.classes, tenants.stream().map(Tenant::name).collect(Collectors.toSet()));
@@ -230,13 +232,13 @@
         loop.schedule(this::logOpenConnections, answeredInMicros + STOP_LOG_DELAY_MICROS, TimeUnit.MICROSECONDS);
     }
 
-    /** A request was dropped, and will be refused, since there is no memory for it. */
-    void requestMemoryUsedUp() {
+    /** Something was given up since the memory for messages of its kind is used up. */
+    void memoryUsedUp(ByteBudget budget) {
         if (ledger.now() - memoryLoggedAtMicros >= LOG_INTERVAL_MICROS) {
             memoryLoggedAtMicros = ledger.now();
-            log.accept("memory for requests is used up: " + requestMemory.usedBytes() + " of " + requestMemory.capacityBytes()
-                    + " bytes beside " + FREE_REQUEST_BYTES_PER_CONNECTION + " for each connection; refusals so far: "
-                    + requestMemory.rejections());
+            log.accept("memory for " + (budget == requestMemory ? "requests" : "responses") + " is used up: " + budget.usedBytes()
+                    + " of " + budget.capacityBytes() + " bytes beside " + budget.freeBytesPerOwner()
+                    + " for each connection; given up so far: " + budget.rejections());
         }
     }
 
--- a/src/main/java/mastdrift/net/HttpTransport.java
+++ b/src/main/java/mastdrift/net/HttpTransport.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -18,6 +19,7 @@
 import mastdrift.engine.Endpoint;
 import mastdrift.engine.Member;
 import mastdrift.engine.Transport;
+import mastdrift.limits.ByteBudget;
 
 /**
  * HTTP/1.1 to hosts: which parts of a client's request are forwarded, how an endpoint is probed, and where its load
@@ -33,11 +35,16 @@
     private final ConnectionPool connections;
     private final Reports reports;
 
-    /** Opens {@code maxConnections} connections at most, to all hosts together. */
-    public HttpTransport(TimedEventLoop timedLoop, Settings settings, int maxConnections, Consumer<String> faultLog) {
+    /**
+     * Opens {@code maxConnections} connections at most, to all hosts together; takes the memory for their answers from the
+     * given budget.
+     */
+    public HttpTransport(TimedEventLoop timedLoop, Settings settings, int maxConnections, ByteBudget responseMemory,
+            Consumer<String> faultLog) {
         reports = settings.habits().reports();
         connections = new ConnectionPool(timedLoop.loop(), timedLoop.clock()::now, timedLoop.timers(),
-                settings.links().dialTimeout(), settings.links().idle(), maxConnections, faultLog);
+                settings.links().dialTimeout(), settings.links().idle(), maxConnections,
+                new ConnectionPool.AnswerLimits(responseMemory, timedLoop.turns()::turnNumber), faultLog, NioSocketChannel::new);
     }
 
     @Override
--- a/src/main/java/mastdrift/net/Main.java
+++ b/src/main/java/mastdrift/net/Main.java
@@ -20,6 +20,7 @@
 import java.util.logging.Logger;
 import mastdrift.Balance;
 import mastdrift.Balancer.Settings;
+import mastdrift.limits.PhaseBounds;
 
 /** Runs one gateway: wires its parts, rereads its configuration at SIGHUP, and stops it at SIGTERM. */
 public final class Main {
@@ -120,7 +121,7 @@
     static void warmUp(GatewayConfig config, TimedEventLoop timedLoop, Consumer<String> log) {
         PrintStream silent = new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
         WarmUp.run((hosts, standInAddress) -> StartedGateway.create(new GatewayConfig(standInAddress, standInAddress,
-                config.maxSockets(), new HostList(0, true, hosts), config.settings()),
+                config.maxSockets(), config.maxMemoryBytes(), new HostList(0, true, hosts), config.settings()),
                 timedLoop, hosts.size() * 2, hosts.size(), hosts.size(), false, silent).clients(),
                 config.settings().classes(), config.settings().tenants(), config.settings().site().zone(),
                 config.listen().getAddress(), timedLoop.loop(), log);
@@ -157,7 +158,8 @@
             Gateway gateway = new Gateway(config, timedLoop, new Balance(), maxHostConnections, maxOpenRequests, tally,
                     out);
             return new StartedGateway(gateway, new HttpFront(timedLoop.loop(), gateway.ledger(), gateway,
-                    config.settings().classes(), config.settings().tenants(), maxClientConnections, gateway::log));
+                    config.settings().classes(), config.settings().tenants(), maxClientConnections, PhaseBounds.DEFAULT,
+                    gateway.requestMemory(), gateway.responseMemory(), gateway::log));
         }
     }
 
--- a/src/main/java/mastdrift/net/RequestAssembler.java
+++ b/src/main/java/mastdrift/net/RequestAssembler.java
@@ -19,9 +19,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.Arrays;
-import java.util.Iterator;
-import java.util.Map;
 
 /**
  * Assembles whole requests from their heads and bodies, within a bound on memory. Bodies are copied, so that a few bytes don't
@@ -33,10 +30,6 @@
 
     /** The longest body of a request. */
     static final int MAX_BODY_BYTES = 64 << 10;
-    private static final int MIN_BODY_CAPACITY_BYTES = 256;
-    // What the objects of a request, and of each of its header fields, take beside their text.
-    private static final int REQUEST_OVERHEAD_BYTES = 512;
-    private static final int FIELD_OVERHEAD_BYTES = 160;
 
     /** The memory for the requests of a connection. */
     interface Memory {
@@ -70,8 +63,8 @@
     private final Memory memory;
     private HttpRequest head;  // of the request that is being read; null between requests and once one is passed on as failed
     private boolean dropped;
-    private byte[] body;
-    private int bodyBytes;
+    private BodyBuffer body;
+    private int bodyBytes;  // received, held or not
     private int heldBytes;
 
     RequestAssembler(Memory memory) {
@@ -108,7 +101,6 @@
     private void begin(ChannelHandlerContext context, HttpRequest request) {
         head = request;
         dropped = false;
-        body = null;
         bodyBytes = 0;
         if (request.decoderResult().isFailure()) {
             fail(context, request.decoderResult().cause());
@@ -117,7 +109,8 @@
         } else if (HttpUtil.getContentLength(request, -1L) > MAX_BODY_BYTES) {
             fail(context, new TooLongFrameException("body"));
         } else {
-            dropped = memory.refusesNext() || !hold(weight(request));
+            body = new BodyBuffer((int) HttpUtil.getContentLength(request, (long) MAX_BODY_BYTES), this::hold);
+            dropped = memory.refusesNext() || !hold(request.uri().length() + MessageWeight.of(request));
             if (HttpUtil.is100ContinueExpected(request) && !memory.isAnswering()) {
                 context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER,
                         EmptyHttpHeaders.INSTANCE, EmptyHttpHeaders.INSTANCE));
@@ -141,15 +134,6 @@
                 && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expectation);
     }
 
-    private static int weight(HttpRequest request) {
-        int bytes = REQUEST_OVERHEAD_BYTES + request.uri().length();
-        for (Iterator<Map.Entry<CharSequence, CharSequence>> all = request.headers().iteratorCharSequence(); all.hasNext(); ) {
-            Map.Entry<CharSequence, CharSequence> field = all.next();
-            bytes += FIELD_OVERHEAD_BYTES + field.getKey().length() + field.getValue().length();
-        }
-        return bytes;
-    }
-
     private boolean hold(int bytes) {
         boolean reserved = memory.reserve(bytes);
         heldBytes += reserved ? bytes : 0;
@@ -175,31 +159,12 @@
     }
 
     private void append(ChannelHandlerContext context, ByteBuf part) {
-        int added = part.readableBytes();
-        bodyBytes += added;
+        bodyBytes += part.readableBytes();
         if (bodyBytes > MAX_BODY_BYTES) {
             fail(context, new TooLongFrameException("body"));
-        } else if (added > 0 && !dropped) {
-            if (ensureCapacity(bodyBytes)) {
-                part.readBytes(body, bodyBytes - added, added);
-            } else {
-                drop();
-            }
-        }
-    }
-
-    private boolean ensureCapacity(int bytes) {
-        int capacity = body == null ? 0 : body.length;
-        if (bytes <= capacity) {
-            return true;
-        }
-        int longest = (int) HttpUtil.getContentLength(head, (long) MAX_BODY_BYTES);
-        int next = Math.min(longest, Math.max(bytes, Math.max(MIN_BODY_CAPACITY_BYTES, 2 * capacity)));
-        if (!hold(next - capacity)) {
-            return false;
+        } else if (!dropped && !body.append(part)) {
+            drop();
         }
-        body = body == null ? new byte[next] : Arrays.copyOf(body, next);
-        return true;
     }
 
     private void complete(ChannelHandlerContext context) {
@@ -209,8 +174,7 @@
     }
 
     private FullHttpRequest message() {
-        ByteBuf content = bodyBytes == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body, 0, bodyBytes);
-        return new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), content, head.headers(),
+        return new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body.toByteBuf(), head.headers(),
                 EmptyHttpHeaders.INSTANCE);
     }
 
--- a/src/main/java/mastdrift/net/StrictDecoder.java
+++ b/src/main/java/mastdrift/net/StrictDecoder.java
@@ -58,16 +58,6 @@
         }
     }
 
-    /** Bounds the work that is done on one connection at a time. */
-    interface WorkMeter {
-
-        /** Whether more may be decoded now. */
-        boolean mayDecode();
-
-        /** Decoding has consumed so many bytes with so many fields, and completed a request or not. */
-        void decoded(int bytes, int fields, boolean requestCompleted);
-    }
-
     // By ASCII code, whether a character is allowed in a Host field.
     private static final boolean[] HOST_CHARACTERS = new boolean['~' + 1];
 
--- a/src/main/java/mastdrift/serve/Service.java
+++ b/src/main/java/mastdrift/serve/Service.java
@@ -43,6 +43,8 @@
 import mastdrift.engine.ServiceCount;
 import mastdrift.engine.HostListSource;
 import mastdrift.engine.Transport;
+import mastdrift.limits.ByteBudget;
+import mastdrift.limits.MessageMemory;
 import mastdrift.events.Events;
 import mastdrift.events.Events.Level;
 import mastdrift.files.StatusFile;
@@ -109,6 +111,8 @@
     private final SplittableRandom seeds = new SplittableRandom();
     private final RequestTracker ledger = new RequestTracker(timedLoop.timers(), clock, timedLoop.turns(), MAX_OPEN_REQUESTS,
             this::log);
+    private final MessageMemory messageMemory = MessageMemory.ofThisProcess();
+    private final ByteBudget responseMemory = messageMemory.responseBudget();
     private final Router router = new Router(Router.MAX_PINS);
     private final Map<String, PoolEntry> pools = new HashMap<>();
     private final Control control = new Control(new ControlListener(), clock::now);
@@ -256,7 +260,7 @@
             RequestTracker ledger = new RequestTracker(warmUpLoop.timers(), warmUpLoop.clock(), warmUpLoop.turns(), MAX_OPEN_REQUESTS,
                     this::log);
             Pool pool = new Pool("rehearsal", ledger, new Balance(), moduleSettings,
-                    new HttpTransport(warmUpLoop, moduleSettings, settings.maxConnections(), line -> { }));
+                    new HttpTransport(warmUpLoop, moduleSettings, settings.maxConnections(), messageMemory.responseBudget(), line -> { }));
             pool.start(HostListSource.PUSH_ONLY, hosts);
             return new HttpFront(warmUpEventLoop, ledger, (type, tenant, message, key) -> pool, initialConfiguration.classes(), initialConfiguration.tenants(),
                     gateway.maxConnections(), line -> { });
@@ -407,7 +411,7 @@
             gateway = next.gateway();
             statusFile = gateway.statusFile() == null ? null : new StatusFile(file, gateway.statusFile());
             httpFront = new HttpFront(loop, ledger, this::route, next.classes(), next.tenants(), gateway.maxConnections(),
-                    gateway.bounds(), this::log);
+                    gateway.bounds(), messageMemory.requestBudget(), responseMemory, this::log);
             radiusListeners = next.radiusListeners();
             radiusListeners.forEach(each -> radiusFronts.add(radiusFront(next, each)));
             startZones(next);
@@ -475,7 +479,7 @@
     private PoolEntry openPool(Configuration next, PoolSettings settings) {
         Settings moduleSettings = moduleSettings(next, settings);
         Transport transport = settings.isRadius() ? radiusTransport(settings)
-                : new HttpTransport(timedLoop, moduleSettings, settings.maxConnections(), this::log);
+                : new HttpTransport(timedLoop, moduleSettings, settings.maxConnections(), responseMemory, this::log);
         Pool pool = new Pool(settings.name(), ledger, new Balance(), moduleSettings, transport);
         DiscoverySource discovery = settings.discovery() == null ? null
                 : new DiscoverySource(loop, pool, Addresses.parse(settings.discovery()), control, this::log);
--- a/src/main/java/mastdrift/standin/StandInHost.java
+++ b/src/main/java/mastdrift/standin/StandInHost.java
@@ -40,6 +40,7 @@
 public final class StandInHost implements AutoCloseable {
 
     private static final int QUEUE_MOST = 256;
+    private static final int STALLED_ANSWER_BYTES = 60_000;
     // An event loop's own timers come up to a millisecond late, which is much of a short request's work.
     private static final ScheduledThreadPoolExecutor TIMER = new ScheduledThreadPoolExecutor(1, task -> {
         Thread thread = new Thread(task, "stand-in-work");
@@ -60,7 +61,9 @@
         /** Runs it and closes the connection. */
         RESET,
         /** Runs it, answers half and closes the connection. */
-        CUT
+        CUT,
+        /** Runs it, sends nearly all of a large answer, and nothing more. */
+        STALL
     }
 
     /** A request that came: its id, its repeat key or null, when (System.nanoTime). */
@@ -79,6 +82,7 @@
     private volatile ToDoubleFunction<String> work;
     private volatile double slower = 1;
     private volatile int queueMost = QUEUE_MOST;
+    private volatile String padding = "";
     private volatile Manner manner = Manner.SERVE;
     private volatile Consumer<Seen> observer = seen -> { };
     private volatile long opened;
@@ -146,6 +150,11 @@
         slower = factor;
     }
 
+    /** From now on answers are longer by so many bytes. */
+    public void padding(int bytes) {
+        padding = " ".repeat(bytes);
+    }
+
     /** So many requests wait at most; further ones are turned away. */
     public void queue(int most) {
         queueMost = most;
@@ -253,8 +262,9 @@
             case FAIL -> answer(job.context, HttpResponseStatus.INTERNAL_SERVER_ERROR, "");
             case RESET -> job.context.close();
             case CUT -> cut(job.context);
+            case STALL -> stall(job.context);
             case SILENT -> { }
-            default -> answer(job.context, HttpResponseStatus.OK, name + " " + job.id);
+            default -> answer(job.context, HttpResponseStatus.OK, name + " " + job.id + padding);
         }
         next();
     }
@@ -267,6 +277,13 @@
                 .addListener(ChannelFutureListener.CLOSE);
     }
 
+    private static void stall(ChannelHandlerContext context) {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, STALLED_ANSWER_BYTES + 1);
+        context.write(head);
+        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[STALLED_ANSWER_BYTES])));
+    }
+
     private static FullHttpResponse response(HttpResponseStatus status, String body) {
         ByteBuf content = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8);
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
--- a/src/test/java/mastdrift/lab/flood/FloodTest.java
+++ b/src/test/java/mastdrift/lab/flood/FloodTest.java
@@ -8,8 +8,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import mastdrift.standin.StandInHost;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -87,12 +89,30 @@
     @EnumSource
     void gatewayOutlivesACrowd(CrowdKind kind) throws Exception {
         FloodPlay.Outcome beside;
+        play.hosts().forEach(host -> host.padding(kind.answerPaddingBytes()));
         try (Crowd crowd = Crowd.start(play.gateway().address(), kind, CROWD_SIZE, kind.name())) {
             beside = play.observe(CROWD_MILLIS);
+        } finally {
+            play.hosts().forEach(host -> host.padding(0));
         }
         check(kind.toString(), beside);
     }
 
+    /** Guards against parts of hosts' answers whose memory has a bound alone and none in sum. */
+    @Test
+    void gatewayOutlivesHostsThatStopWithinLargeAnswers() throws Exception {
+        FloodPlay.Outcome beside;
+        List<StandInHost> stalling = play.hosts().subList(1, play.hosts().size());
+        stalling.forEach(host -> host.manner(StandInHost.Manner.STALL));
+        try (Crowd crowd = Crowd.start(play.gateway().address(), CrowdKind.MANY_REQUESTS, CROWD_SIZE, "stalled")) {
+            beside = play.observe(CROWD_MILLIS);
+        } finally {
+            stalling.forEach(host -> host.manner(StandInHost.Manner.SERVE));
+        }
+        play.observe(RECOVERY_MILLIS);
+        check("hosts that stop within large answers", beside);
+    }
+
     private void check(String trouble, FloodPlay.Outcome beside) throws Exception {
         assertTrue(play.gateway().isAlive(), trouble + ": the process has ended: " + play.gateway().log());
         long peakMegabytes = play.gateway().peakMemoryKib() / 1_024;
