End the service of a server whose address another one has taken over

Cause: EndpointGate knows servers by uid and start, and compared addresses only for the same uid. A process that has gone and is not listed as gone yet kept its entry.

Change: in a list that is put in force, the latest start at an address holds it; others there are out of service (REPLACED in the log), and the module hears that they are leaving. Starts that a newer list has ended don't count, and equal starts can't be told apart and stay.

--- a/src/main/java/mastdrift/engine/EndpointGate.java
+++ b/src/main/java/mastdrift/engine/EndpointGate.java
@@ -24,6 +24,9 @@
  * discovery call nor a registry that was restored to an earlier state reopens it. The number of ended instances kept is
  * bounded; the oldest are forgotten first.
  *
+ * <p>An address belongs to the server that started there last. A list may still name the one that was there before, or say
+ * nothing of it: its service ends all the same, since its requests would reach the other.
+ *
  * <p>Does no I/O and reads no clock. Not thread-safe.
  */
 public final class EndpointGate {
@@ -88,12 +91,16 @@
         newestVersion = Math.max(newestVersion, version);
         List<Member> inForce = new ArrayList<>(entries.size());
         Set<String> listedUids = new HashSet<>();
+        Map<InetSocketAddress, Long> latestStarts = latestStarts(version, entries);
         for (Member entry : entries) {
             listedUids.add(entry.host().address());
             if (entry.host().health() != Health.UP) {
                 endService(entry.host(), version,
                         entry.host().health() == Health.GONE ? Transitions.Cause.REMOVED : Transitions.Cause.DRAINING);
                 inForce.add(entry);
+            } else if (isSuperseded(entry.socketAddress(), entry.host().born(), latestStarts)) {
+                endService(entry.host(), version, Transitions.Cause.REPLACED);
+                inForce.add(withHealth(Health.LEAVING, entry.host(), entry.socketAddress()));
             } else if (isOutdated(version, entry.host())) {
                 continue;
             } else if (openEndpoint(version, entry)) {
@@ -102,13 +109,34 @@
                 inForce.add(withHealth(Health.LEAVING, entry.host(), entry.socketAddress()));
             }
         }
-        if (isFullList) {
-            List.copyOf(inServiceByUid.values()).stream().filter(endpoint -> !listedUids.contains(endpoint.uid()))
-                    .forEach(endpoint -> endService(endpoint, version, Transitions.Cause.LEFT_OUT));
+        for (Endpoint endpoint : List.copyOf(inServiceByUid.values())) {
+            if (isFullList && !listedUids.contains(endpoint.uid())) {
+                endService(endpoint, version, Transitions.Cause.LEFT_OUT);
+            } else if (isSuperseded(endpoint.address(), endpoint.startedAt(), latestStarts)) {
+                endService(endpoint, version, Transitions.Cause.REPLACED);
+                inForce.add(withHealth(Health.LEAVING, endpoint.host(), endpoint.address()));
+            }
         }
         return inForce;
     }
 
+    /** The latest start of a server at each address, by the entries that may be in service. */
+    private Map<InetSocketAddress, Long> latestStarts(long version, List<Member> entries) {
+        Map<InetSocketAddress, Long> latestStarts = new HashMap<>();
+        for (Member entry : entries) {
+            if (entry.host().health() == Health.UP && entry.socketAddress() != null && entry.host().born() > 0
+                    && !hasEnded(new Instance(entry.host().address(), entry.host().born()), version)) {
+                latestStarts.merge(entry.socketAddress(), entry.host().born(), Math::max);
+            }
+        }
+        return latestStarts;
+    }
+
+    /** Whether another server has started since at the address: what is sent there would reach that one. */
+    private static boolean isSuperseded(InetSocketAddress address, long startedAt, Map<InetSocketAddress, Long> latestStarts) {
+        return address != null && startedAt < latestStarts.getOrDefault(address, Long.MIN_VALUE);
+    }
+
     /**
      * Applies the certain part of a list that is not put in force: which servers drain or are gone. An error in it
      * costs capacity until the next list, and a list of the same version that is put in force reverses it.
@@ -154,10 +182,15 @@
         return current != null && host.born() < current.startedAt() && version <= current.openedByVersion();
     }
 
+    /** Whether the service of an instance was ended by this version or a newer one. */
+    private boolean hasEnded(Instance instance, long version) {
+        return endedByVersion.getOrDefault(instance, Long.MIN_VALUE) >= version;
+    }
+
     private boolean openEndpoint(long version, Member entry) {
         Host host = entry.host();
         Instance instance = new Instance(host.address(), host.born());
-        if (endedByVersion.getOrDefault(instance, Long.MIN_VALUE) >= version) {
+        if (hasEnded(instance, version)) {
             return false;
         }
         Endpoint current = inServiceByUid.get(host.address());
--- a/src/test/java/mastdrift/engine/EndpointGateTest.java
+++ b/src/test/java/mastdrift/engine/EndpointGateTest.java
@@ -83,6 +83,16 @@
         assertNull(gate.find("old"), "a list from before the new server doesn't bring the old one back");
     }
 
+    /** An older list doesn't take the address from the server that a newer one has put there. */
+    @Test
+    void serverThatHasGoneDoesNotTakeItsAddressBack() {
+        gate.apply(5, true, List.of(member("new", Health.UP, 9, FIRST_ADDRESS)));
+        gate.apply(6, true, List.of(up("old")));
+        gate.apply(5, true, List.of(member("new", Health.UP, 9, FIRST_ADDRESS), up("old")));
+        assertTrue(gate.find("old").maySend());
+        assertNull(gate.find("new"));
+    }
+
     /** Guards against two servers in service at one address, of which a list names the one that has gone too. */
     @Test
     void latestStartHoldsTheAddressThatOneListGivesToTwoServers() {
