End the lease of a host list once input of discovery was lost by a fault of this process

By reading and by LostDiscoveryInputTest: after a failed allocation on the watch's connection requests are sent by the old list for up to 2 s, and for as long as calls fail after that.

Cause: an error of this process and the end of a watch by the registry were the same to HostListLease; the first loses what had been received, the second loses nothing.

Change: DiscoveryCall tells apart faults that are neither of the connection nor of what the registry sent, and the lease ends at once until another list has been accepted, whatever calls do. It says so in the log.

--- a/src/main/java/mastdrift/membership/HostListLease.java
+++ b/src/main/java/mastdrift/membership/HostListLease.java
@@ -38,6 +38,7 @@
     private boolean lastCallFailed;
     private long watchExpiry = NEVER;
     private long partialListExpiry = NEVER;
+    private long inputLostExpiry = NEVER;
 
     /** {@code validity}: how long a list is valid without a watch, from the last call on; 0 without a setting. */
     public HostListLease(long validity) {
@@ -61,6 +62,7 @@
     public void listAccepted() {
         watchExpiry = NEVER;
         partialListExpiry = NEVER;
+        inputLostExpiry = NEVER;
     }
 
     /** The response to a watch has started; its first line is still to come. */
@@ -88,6 +90,14 @@
         limitByWatch(lastLineAt + WATCH_SILENT_VALIDITY_MICROS);
     }
 
+    /**
+     * This process has lost input that it had received, by a fault of its own. What was in it has been delivered, so the list
+     * is not valid until another one is accepted, however calls end.
+     */
+    public void inputLost(long eventAt) {
+        inputLostExpiry = Math.min(inputLostExpiry, eventAt);
+    }
+
     /** The address of the registry has changed. */
     public void registryMoved(long eventAt) {
         watchOpen = false;
@@ -124,9 +134,9 @@
     /** When the lease expires, as things stand; {@code Long.MAX_VALUE} for never. */
     public long expiresAt() {
         if (pushedByAgent) {
-            return partialListExpiry;
+            return Math.min(partialListExpiry, inputLostExpiry);
         }
-        long expiry = Math.min(watchExpiry, partialListExpiry);
+        long expiry = Math.min(Math.min(watchExpiry, partialListExpiry), inputLostExpiry);
         if (watchOpen) {
             return Math.min(expiry, lastLineAt + WATCH_SILENT_VALIDITY_MICROS);
         }
--- a/src/main/java/mastdrift/net/Discovery.java
+++ b/src/main/java/mastdrift/net/Discovery.java
@@ -391,6 +391,11 @@
             }
         }
 
+        @Override
+        public void inputLost(DiscoveryCall call) {
+            lease.inputLost(nowMicros());
+        }
+
         @Override
         public void connectionClosed(DiscoveryCall call, String cause) {
             if (watching && call.hasReceivedLine() && scheduler.isOpen(call.channel())) {
--- a/src/main/java/mastdrift/net/DiscoveryCall.java
+++ b/src/main/java/mastdrift/net/DiscoveryCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -60,6 +61,9 @@
          */
         void partialListChanged(boolean present);
 
+        /** Input that had been received was lost by a fault of this process. */
+        void inputLost(DiscoveryCall call);
+
         /** The connection has closed. */
         void connectionClosed(DiscoveryCall call, String cause);
 
@@ -357,6 +361,10 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext channelContext, Throwable fault) {
         closeReason = fault.toString();
+        if (!(fault instanceof IOException || fault instanceof CodecException)) {
+            logEvent("input was lost by " + fault);
+            owner.inputLost(this);
+        }
         channelContext.close();
     }
 }
--- a/src/test/java/mastdrift/membership/HostListLeaseTest.java
+++ b/src/test/java/mastdrift/membership/HostListLeaseTest.java
@@ -35,6 +35,24 @@
         }
     }
 
+    /** Guards against sending by a list whose successor was received and lost, through an outage of the registry too. */
+    @Test
+    void lostInputEndsTheLeaseUntilANewListIsAccepted() {
+        openWatch(0);
+        lease.inputLost(SECOND_MICROS);
+        lease.watchEnded(SECOND_MICROS);
+        assertFalse(lease.isValid(SECOND_MICROS));
+        lease.callStarted(2 * SECOND_MICROS);
+        lease.callFailed();
+        lease.lineReceived(3 * SECOND_MICROS);
+        assertFalse(lease.isValid(3 * SECOND_MICROS));
+        lease.listAccepted();
+        assertTrue(lease.isValid(3 * SECOND_MICROS));
+        HostListLease pushed = HostListLease.pushedByAgent();
+        pushed.inputLost(0);
+        assertFalse(pushed.isValid(0));
+    }
+
     @Test
     void listExpiresAfterItsWatchEndedUntilANewListIsAccepted() {
         openWatch(0);
