Don't forward an id again that is still out or may have run a while ago

Cause: the front kept the ids of requests without a final answer, and dropped an id with its connection. A client whose connection ends sends the request once more on another one, and doesn't know whether the first copy was read; attempts go on, or have run, behind its close.

Change: engine.RequestIds keeps an id until its request and all its attempts have ended, and the id of one that isn't safe to repeat and may have run for twice the deadline and the window in which repeats are dropped, behind that. Such a request is answered 409, as one whose id is open was before.

--- a/src/main/java/mastdrift/engine/Exchange.java
+++ b/src/main/java/mastdrift/engine/Exchange.java
@@ -11,21 +11,22 @@
     final Pool pool;
     final Responder responder;
     final RequestMessage message;
-    final String className;
+    final RequestAttributes attributes;
     final List<Transport.Attempt> attempts = new ArrayList<>(2);
     PoolCrossings.RequestCrossing crossing;  // null if zone crossings aren't counted
     Timers.Timer deadlineTimer;
     long hostDeadlineMicros;  // a host's response after that would reach the client too late
     int attemptsInFlight;
     boolean lastAttemptExpired;
+    boolean mayHaveRun;  // an attempt may have had an effect
     boolean ended;
 
-    Exchange(long id, Pool pool, Responder responder, RequestMessage message, String className) {
+    Exchange(long id, Pool pool, Responder responder, RequestMessage message, RequestAttributes attributes) {
         this.id = id;
         this.pool = pool;
         this.responder = responder;
         this.message = message;
-        this.className = className;
+        this.attributes = attributes;
     }
 
     /** Fails the request because its time is up, even if the module would still answer it. */
--- a/src/main/java/mastdrift/engine/Pool.java
+++ b/src/main/java/mastdrift/engine/Pool.java
@@ -246,6 +246,7 @@
                     : requestTracker.lateness().queuedMicros(now);
             long hostMicros = Math.max(totalMicros - ownLatenessMicros, Math.min(totalMicros, MIN_HOST_TIME_MICROS));
             exchange.lastAttemptExpired = outcome == Outcome.EXPIRED;
+            exchange.mayHaveRun |= outcome != Outcome.SHED && outcome != Outcome.DIAL_FAILED && outcome != Outcome.UNUSED;
             requestTracker.attemptEnded(exchange, uid, outcome);
             if (outcome == Outcome.DELIVERED && !exchange.ended) {
                 requestTracker.serve(exchange, response);
--- a/src/main/java/mastdrift/engine/RequestAttributes.java
+++ b/src/main/java/mastdrift/engine/RequestAttributes.java
@@ -3,6 +3,7 @@
 /**
  * What a front knows about a request.
  *
+ * @param id its id, under which it must not run twice; null if its protocol has none
  * @param className name of the request's class
  * @param tenant name of its tenant, or null
  * @param key its affinity key, or null
@@ -13,12 +14,12 @@
  * @param clientZone the zone of its client; empty if unknown
  * @param idempotencyKey a number shared by all retries that must take effect only once, or null
  */
-public record RequestAttributes(String className, String tenant, Long key, long timeLeftMicros, boolean repeated,
+public record RequestAttributes(String id, String className, String tenant, Long key, long timeLeftMicros, boolean repeated,
         boolean write, long estimatedWorkMicros, String clientZone, Long idempotencyKey) {
 
-    /** A request without a client zone or an idempotency key. */
+    /** A request without an id, a client zone or an idempotency key. */
     public RequestAttributes(String className, String tenant, Long key, long timeLeftMicros, boolean repeated,
             boolean write, long estimatedWorkMicros) {
-        this(className, tenant, key, timeLeftMicros, repeated, write, estimatedWorkMicros, "", null);
+        this(null, className, tenant, key, timeLeftMicros, repeated, write, estimatedWorkMicros, "", null);
     }
 }
--- a/src/main/java/mastdrift/engine/RequestTracker.java
+++ b/src/main/java/mastdrift/engine/RequestTracker.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -38,12 +39,15 @@
     private static final long MIN_LOGGED_LATENESS_MICROS = 50_000;
     private static final long LATENESS_LOG_INTERVAL_MICROS = 10_000_000;
 
+    private static final int ID_RETENTION_FACTOR = 2;
+
     private final Timers timers;
     private final Clock clock;
     private final EventLoopLateness lateness;
     private final int maxOpenRequests;
     private final Consumer<String> log;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final RequestIds ids = new RequestIds(ThreadLocalRandom.current().nextLong());
     private final ServiceCount serviceCount = new ServiceCount();
     private final Queue<Runnable> pendingEvents = new ArrayDeque<>();
     private RequestListener requestListener;  // null if there is none
@@ -154,7 +158,8 @@
         if (requestListener != null) {
             requestListener.requestReceived(message, attributes);
         }
-        if (openRequests >= Math.min(maxOpenRequests, pool.settings().limits().maxOpen())) {
+        if (openRequests >= Math.min(maxOpenRequests, pool.settings().limits().maxOpen())
+                || retentionMicros(pool, attributes) > 0 && !ids.hasRoom(now)) {
             refuseUnaccepted(pool, responder, message, attributes);
             return null;
         }
@@ -170,8 +175,11 @@
             return null;
         }
         logLateness();
-        Exchange exchange = new Exchange(nextId++, pool, responder, message, attributes.className());
+        Exchange exchange = new Exchange(nextId++, pool, responder, message, attributes);
         openRequests++;
+        if (attributes.id() != null) {
+            ids.begin(attributes.id());
+        }
         pool.exchangeBegan();
         exchanges.put(exchange.id, exchange);
         exchange.crossing = pool.newCrossing(attributes);
@@ -197,6 +205,30 @@
         return exchange.ended ? null : exchange;
     }
 
+    /**
+     * Whether a request with this id must not be accepted now: another one is open, or may have had an effect a while ago.
+     * Answers of two open ones could be confused, and a copy of one that has run would run again.
+     */
+    public boolean isIdInUse(String id) {
+        return ids.isInUse(now(), id);
+    }
+
+    /**
+     * For how long the id of a request is kept once it may have had an effect: no copy of it comes later, and hosts drop a
+     * repeat of the key meanwhile. 0 for a request without an id, or one that may run any number of times.
+     */
+    private static long retentionMicros(Pool pool, RequestAttributes attributes) {
+        if (attributes.id() == null || !attributes.write()) {
+            return 0;
+        }
+        for (Balancer.RequestClass requestClass : pool.settings().classes()) {
+            if (requestClass.name().equals(attributes.className())) {
+                return ID_RETENTION_FACTOR * (requestClass.deadline() + requestClass.dedupWindow());
+            }
+        }
+        return 0;
+    }
+
     /** Refuses a request for which its front has no room, and takes over the message, which it releases. */
     public void refuse(Pool pool, Responder responder, RequestMessage message, RequestAttributes attributes) {
         if (requestListener != null) {
@@ -313,13 +345,13 @@
 
     void serve(Exchange exchange, ResponseMessage response) {
         finish(exchange, RequestListener.Result.SERVED, null);
-        serviceCount.countServed(exchange.className);
+        serviceCount.countServed(exchange.attributes.className());
         exchange.responder.sendResponse(response);
     }
 
     void refuse(Exchange exchange, long retryAfterMicros, Why reason) {
         finish(exchange, RequestListener.Result.REFUSED, reason);
-        serviceCount.countRefused(exchange.className, reason);
+        serviceCount.countRefused(exchange.attributes.className(), reason);
         if (exchange.crossing != null) {
             exchange.crossing.recordRefusal(now(), reason);
         }
@@ -328,7 +360,7 @@
 
     void fail(Exchange exchange, boolean timedOut) {
         finish(exchange, timedOut ? RequestListener.Result.LATE : RequestListener.Result.FAILED, null);
-        serviceCount.countFailed(exchange.className);
+        serviceCount.countFailed(exchange.attributes.className());
         exchange.responder.sendFailure(timedOut);
     }
 
@@ -372,6 +404,9 @@
     void forgetIfDone(Exchange exchange) {
         if (exchange.ended && exchange.attemptsInFlight == 0 && exchanges.remove(exchange.id) != null) {
             exchange.pool.exchangeEnded();
+            if (exchange.attributes.id() != null) {
+                ids.end(now(), exchange.attributes.id(), exchange.mayHaveRun ? retentionMicros(exchange.pool, exchange.attributes) : 0);
+            }
         }
     }
 }
--- a/src/main/java/mastdrift/lab/model/ModelClients.java
+++ b/src/main/java/mastdrift/lab/model/ModelClients.java
@@ -84,7 +84,7 @@
                 return;
             }
             long endsAt = time.now() + asked.deadline();
-            RequestAttributes ask = new RequestAttributes(asked.className(), asked.tenant(), hash(key), asked.deadline() - DELAY,
+            RequestAttributes ask = new RequestAttributes(null, asked.className(), asked.tenant(), hash(key), asked.deadline() - DELAY,
                     tries > 1 && scenario.site().marksRetry(), false, 0, "", type.repeat() == Repeat.KEYED ? effect() : null);
             Try one = new Try(this, gateway, ask, endsAt, watch, time, DELAY, trace, world.twice(), this::ended);
             if (trace != Trace.NONE) {
--- a/src/main/java/mastdrift/net/ClientConnection.java
+++ b/src/main/java/mastdrift/net/ClientConnection.java
@@ -161,6 +161,11 @@
         return true;
     }
 
+    /** The id of the request that is being answered; null if there is none. */
+    String requestId() {
+        return requestId;
+    }
+
     /** Number of requests that are only counted and will be refused. */
     int overflowCount() {
         return overflowCount;
@@ -188,7 +193,6 @@
         if (entry != null) {
             connections.remove(entry);
         }
-        front.openRequestIds.remove(requestId);
         front.admission.connectionClosed();
         if (pipelined != null) {
             releasePipelined();
@@ -577,8 +581,7 @@
         ApiRequest request = result.request();
         if (request == null) {
             writeEmptyResponse(result.rejection(), result.closesConnection());
-        } else if (!front.openRequestIds.add(request.traceId())) {
-            // Else the answers of two requests could be confused
+        } else if (ledger.isIdInUse(request.traceId())) {
             writeEmptyResponse(HttpResponseStatus.CONFLICT, false);
         } else {
             requestId = request.traceId();
@@ -595,7 +598,7 @@
         long timeLeftMicros = Math.min(Math.min(request.expiresMillis() * 1_000, request.requestClass().deadline()) - waitedMicros,
                 front.answerDeadlineMicros() - ledger.now());
         HttpCall call = new HttpCall(message.retain());
-        RequestAttributes attributes = new RequestAttributes(request.requestClass().name(), request.tenant(), request.affinityKey(),
+        RequestAttributes attributes = new RequestAttributes(request.traceId(), request.requestClass().name(), request.tenant(), request.affinityKey(),
                 timeLeftMicros, request.isRepeat(), message.method().equals(HttpMethod.POST), request.workMicros(),
                 front.clientZone(channel.remoteAddress()), request.effectKey());
         surplus = surplus && !front.admission.hasRoomForRequest();
@@ -664,7 +667,6 @@
 
     private void writeResponse(FullHttpResponse response, boolean close) {
         exchange = null;
-        front.openRequestIds.remove(requestId);
         requestId = null;
         // During a shutdown, or to make room, the connection closes with the last response that it is owed.
         boolean moreRequests = overflowCount > 0 || pipelined != null && !pipelined.isEmpty();
--- a/src/main/java/mastdrift/net/HttpFront.java
+++ b/src/main/java/mastdrift/net/HttpFront.java
@@ -15,11 +15,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -82,7 +81,6 @@
     private ChannelFactory<? extends ServerChannel> serverChannelFactory = NioServerSocketChannel::new;
     private Function<InetAddress, String> clientZoneByAddress;  // zone of a client address; null if zones are not used
     final ClientConnectionTable<ClientConnection> connections;
-    final Set<String> openRequestIds = new HashSet<>();  // ids of requests that have no final answer yet
     final Acceptor acceptor;
     final TurnShares turnShares = new TurnShares();
     final NextTurn nextTurn;
@@ -270,10 +268,20 @@
     private void logOpenConnections() {
         if (connections.size() > 0) {
             log.accept("shutdown is waiting for connections: " + connections.phaseCounts() + "; unanswered requests: "
-                    + openRequestIds.stream().limit(MAX_LOGGED_IDS).toList());
+                    + unansweredIds());
         }
     }
 
+    private List<String> unansweredIds() {
+        List<String> ids = new ArrayList<>();
+        connections.forEach(ConnectionPhase.BUSY, connection -> {
+            if (connection.requestId() != null && ids.size() < MAX_LOGGED_IDS) {
+                ids.add(connection.requestId());
+            }
+        });
+        return ids;
+    }
+
     /**
      * From now on each connection closes after the last response that it is owed, and connections that never sent a
      * request close now. One that rests stays open for a while, and one with a partial request, since the rest of it is
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -272,7 +272,7 @@
         }
         long timeoutMicros = isAccounting ? classes.accountingTimeoutMicros : classes.accessTimeoutMicros;
         responseSender.accept(pool, new RadiusRequestMessage(request, client.authenticators(),
-                conversation == null ? null : conversation.uid()), new RequestAttributes(className, client.tenant(), key,
+                conversation == null ? null : conversation.uid()), new RequestAttributes(null, className, client.tenant(), key,
                 timeLeftMicros(timeoutMicros), false, isAccounting, 0, zoneByAddress.apply(from.getAddress()),
                 isAccounting ? key : null));
     }
