Tie a RADIUS conversation to one start of its server, and to its client

Seen: a server that was restarted at its address got the next request of a conversation that its former process had begun (trial: a charger that goes on 7 s behind the restart, once the server is warm again; it ran at the new process, which knows nothing of the State and would reject a valid user).

Cause: ConversationTable kept the uid of the server by the State alone.

Change: it keeps uid and start (radius.ServerInstance) by State and client's address, and RadiusTransport sends a request of a conversation to that start alone. Otherwise it ends as UNUSED, as with a server that has gone.

--- a/src/main/java/mastdrift/radius/ConversationTable.java
+++ b/src/main/java/mastdrift/radius/ConversationTable.java
@@ -10,19 +10,20 @@
  */
 public final class ConversationTable {
 
-    /** The uid of the server in a conversation, and the routing key of the conversation's first request. */
-    public record Conversation(String uid, long key) { }
+    /** The server in a conversation, and the routing key of the conversation's first request. */
+    public record Conversation(ServerInstance server, long key) { }
 
-    private record State(byte[] value) {
+    /** A State as a client knows it: two servers may give the same one to different clients. */
+    private record State(byte[] clientAddress, byte[] value) {
 
         @Override
         public boolean equals(Object other) {
-            return other instanceof State state && Arrays.equals(value, state.value);
+            return other instanceof State state && Arrays.equals(value, state.value) && Arrays.equals(clientAddress, state.clientAddress);
         }
 
         @Override
         public int hashCode() {
-            return Arrays.hashCode(value);
+            return 31 * Arrays.hashCode(clientAddress) + Arrays.hashCode(value);
         }
     }
 
@@ -41,10 +42,11 @@
         this.retentionMicros = retentionMicros;
     }
 
-    /** Records that a server has sent an Access-Challenge with this State. */
-    public void recordChallenge(long nowMicros, byte[] state, Conversation conversation) {
-        entries.remove(new State(state));
-        entries.put(new State(state), new Entry(conversation, nowMicros + retentionMicros));
+    /** Records that a server has sent an Access-Challenge with this State to a client. */
+    public void recordChallenge(long nowMicros, byte[] clientAddress, byte[] state, Conversation conversation) {
+        State key = new State(clientAddress, state);
+        entries.remove(key);
+        entries.put(key, new Entry(conversation, nowMicros + retentionMicros));
         for (Iterator<Entry> oldestFirst = entries.values().iterator(); oldestFirst.hasNext(); ) {
             if (oldestFirst.next().expiresAtMicros > nowMicros && entries.size() <= maxEntries) {
                 return;
@@ -53,9 +55,9 @@
         }
     }
 
-    /** The conversation of a State, or null if it is unknown or expired. */
-    public Conversation find(long nowMicros, byte[] state) {
-        Entry entry = entries.get(new State(state));
+    /** The conversation of a client's State, or null if it is unknown or expired. */
+    public Conversation find(long nowMicros, byte[] clientAddress, byte[] state) {
+        Entry entry = entries.get(new State(clientAddress, state));
         return entry == null || entry.expiresAtMicros <= nowMicros ? null : entry.conversation;
     }
 
--- a/src/main/java/mastdrift/radius/edge/RadiusFront.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusFront.java
@@ -39,6 +39,7 @@
 import mastdrift.radius.HiddenAttributes;
 import mastdrift.radius.MalformedPacketException;
 import mastdrift.radius.Packet;
+import mastdrift.radius.ServerInstance;
 import mastdrift.radius.DuplicateCache;
 import mastdrift.radius.DuplicateCache.LookupResult;
 import mastdrift.radius.DuplicateCache.Source;
@@ -249,11 +250,11 @@
 
     private void forward(InetSocketAddress from, RadiusClients.Client client, Packet request, LookupResult result) {
         boolean isAccounting = request.code() == Code.ACCOUNTING_REQUEST;
+        byte[] address = from.getAddress().getAddress();
         byte[] state = request.firstValue(Attribute.STATE);
         boolean isConversation = !isAccounting && (state != null || request.count(Attribute.EAP_MESSAGE) > 0);
         ConversationTable.Conversation conversation = isConversation && state != null
-                ? conversations.find(ledger.now(), state) : null;
-        byte[] address = from.getAddress().getAddress();
+                ? conversations.find(ledger.now(), address, state) : null;
         long key = isAccounting ? AccountingEvent.of(address, request).routingKey() : conversation != null
                 ? conversation.key()
                 : 31L * Arrays.hashCode(state != null ? state : request.authenticator()) + Arrays.hashCode(address);
@@ -272,7 +273,7 @@
         }
         long timeoutMicros = isAccounting ? classes.accountingTimeoutMicros : classes.accessTimeoutMicros;
         responseSender.accept(pool, new RadiusRequestMessage(request, client.authenticators(),
-                conversation == null ? null : conversation.uid()), new RequestAttributes(null, className, client.tenant(), key,
+                conversation == null ? null : conversation.server()), new RequestAttributes(null, className, client.tenant(), key,
                 timeLeftMicros(timeoutMicros), false, isAccounting, 0, zoneByAddress.apply(from.getAddress()),
                 isAccounting ? key : null));
     }
@@ -342,8 +343,7 @@
             RadiusResponseMessage response = (RadiusResponseMessage) answer;
             if (response.code() == Code.ACCESS_CHALLENGE) {
                 response.attributes().stream().filter(a -> a.type() == Attribute.STATE)
-                        .forEach(state -> conversations.recordChallenge(
-                        ledger.now(), state.value(), new ConversationTable.Conversation(response.uid(), key)));
+                        .forEach(state -> recordChallenge(response.server(), state.value()));
             }
             for (WaitingPacket waitingPacket : entry.waiting()) {
                 List<Attribute> reencrypted = HiddenAttributes.reencrypt(response.attributes(), response.hop(),
@@ -357,6 +357,14 @@
             }
         }
 
+        /** The client may go on from any of the addresses that wait for the challenge. */
+        private void recordChallenge(ServerInstance server, byte[] state) {
+            for (WaitingPacket waitingPacket : entry.waiting()) {
+                conversations.recordChallenge(ledger.now(), waitingPacket.source().address(), state,
+                        new ConversationTable.Conversation(server, key));
+            }
+        }
+
         void sendResponse(WaitingPacket waiting, Code code, List<Attribute> attributes) {
             Packet packet = RadiusFront.buildResponse(code, waiting.request(), attributes);
             if (packet.length() + Authenticators.MESSAGE_AUTHENTICATOR_BYTES > Packet.MAX_BYTES) {
--- a/src/main/java/mastdrift/radius/edge/RadiusTransport.java
+++ b/src/main/java/mastdrift/radius/edge/RadiusTransport.java
@@ -41,6 +41,7 @@
 import mastdrift.radius.IdentifierPool.Slot;
 import mastdrift.radius.MalformedPacketException;
 import mastdrift.radius.Packet;
+import mastdrift.radius.ServerInstance;
 
 /**
  * Sends requests to RADIUS servers over UDP. An attempt is one packet to one server, retransmitted byte for byte until
@@ -161,8 +162,8 @@
     public Attempt send(Endpoint to, RequestMessage call, long timeoutMicros, long leaveWithin, CompletionListener ended) {
         RadiusRequestMessage message = (RadiusRequestMessage) call;
         Packet request = message.request();
-        if (message.requiredServerUid() != null && !message.requiredServerUid().equals(to.uid())) {
-            // Another server would not know the State and would answer Access-Reject for no fault of the user.
+        if (message.requiredServer() != null && !message.requiredServer().equals(instance(to))) {
+            // Another server, or another start of this one, would not know the State and would answer Access-Reject for no fault of the user.
             ended.completed(Outcome.UNUSED, null, LoadReport.NONE);
             return () -> { };
         }
@@ -185,6 +186,10 @@
         }, ended);
     }
 
+    private static ServerInstance instance(Endpoint endpoint) {
+        return new ServerInstance(endpoint.uid(), endpoint.startedAt());
+    }
+
     /** Creates the packet for a slot of a server; null if the request cannot be forwarded. */
     private interface PacketFactory {
         Packet create(Server server, Slot slot);
@@ -362,7 +367,7 @@
                 // The other Proxy-State attributes are the client's own; the front restores them from its request.
                 attributes.removeIf(a -> a.type() == Attribute.PROXY_STATE
                         || a.type() == Attribute.MESSAGE_AUTHENTICATOR);
-                complete(Outcome.DELIVERED, new RadiusResponseMessage(endpoint.uid(), response.code(), attributes,
+                complete(Outcome.DELIVERED, new RadiusResponseMessage(instance(endpoint), response.code(), attributes,
                         new HiddenAttributes.Hop(server.authenticators, packet.authenticator())));
             }
         }
--- a/src/test/java/mastdrift/radius/DuplicateCacheTest.java
+++ b/src/test/java/mastdrift/radius/DuplicateCacheTest.java
@@ -242,18 +242,33 @@
 
     // ---- conversations
 
+    private static final byte[] CLIENT = {10, 0, 0, 1};
+    private static final byte[] OTHER_CLIENT = {10, 0, 0, 2};
+
+    /** Guards against a conversation that goes on with another server, which gave another client the same State. */
+    @Test
+    void clientsWithTheSameStateHaveConversationsOfTheirOwn() {
+        ConversationTable conversations = new ConversationTable(2, 100);
+        ConversationTable.Conversation one = new ConversationTable.Conversation(new ServerInstance("one", 0), 7);
+        ConversationTable.Conversation two = new ConversationTable.Conversation(new ServerInstance("two", 0), 8);
+        conversations.recordChallenge(0, CLIENT, new byte[] {1}, one);
+        conversations.recordChallenge(0, OTHER_CLIENT, new byte[] {1}, two);
+        assertEquals(one, conversations.find(1, CLIENT, new byte[] {1}));
+        assertEquals(two, conversations.find(1, OTHER_CLIENT, new byte[] {1}));
+    }
+
     @Test
     void conversationIsFoundByItsLastState() {
         ConversationTable conversations = new ConversationTable(2, 100);
-        conversations.recordChallenge(0, new byte[] {1}, new ConversationTable.Conversation("one", 7));
-        assertEquals(new ConversationTable.Conversation("one", 7), conversations.find(99, new byte[] {1}));
-        assertNull(conversations.find(100, new byte[] {1}), "expired");
-        assertNull(conversations.find(1, new byte[] {2}));
-        conversations.recordChallenge(1, new byte[] {2}, new ConversationTable.Conversation("two", 8));
-        conversations.recordChallenge(2, new byte[] {3}, new ConversationTable.Conversation("two", 8));
+        conversations.recordChallenge(0, CLIENT, new byte[] {1}, new ConversationTable.Conversation(new ServerInstance("one", 0), 7));
+        assertEquals(new ConversationTable.Conversation(new ServerInstance("one", 0), 7), conversations.find(99, CLIENT, new byte[] {1}));
+        assertNull(conversations.find(100, CLIENT, new byte[] {1}), "expired");
+        assertNull(conversations.find(1, CLIENT, new byte[] {2}));
+        conversations.recordChallenge(1, CLIENT, new byte[] {2}, new ConversationTable.Conversation(new ServerInstance("two", 0), 8));
+        conversations.recordChallenge(2, CLIENT, new byte[] {3}, new ConversationTable.Conversation(new ServerInstance("two", 0), 8));
         assertEquals(2, conversations.size());
-        assertNull(conversations.find(3, new byte[] {1}), "the oldest is evicted when full");
-        conversations.recordChallenge(200, new byte[] {4}, new ConversationTable.Conversation("two", 8));
+        assertNull(conversations.find(3, CLIENT, new byte[] {1}), "the oldest is evicted when full");
+        conversations.recordChallenge(200, CLIENT, new byte[] {4}, new ConversationTable.Conversation(new ServerInstance("two", 0), 8));
         assertEquals(1, conversations.size(), "expired entries are removed");
     }
 
--- a/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
+++ b/src/test/java/mastdrift/radius/edge/RadiusEdgeTest.java
@@ -22,7 +22,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import mastdrift.Balance;
@@ -40,11 +42,13 @@
 import mastdrift.Balancer.Reports;
 import mastdrift.Balancer.RequestClass;
 import mastdrift.Balancer.Rules;
+import mastdrift.Balancer.Outcome;
 import mastdrift.Balancer.Settings;
 import mastdrift.Balancer.Site;
 import mastdrift.Balancer.Value;
 import mastdrift.Balancer.Weights;
 import mastdrift.engine.Clock;
+import mastdrift.engine.EndpointGate;
 import mastdrift.engine.RequestTracker;
 import mastdrift.engine.Member;
 import mastdrift.engine.Pool;
@@ -55,6 +59,7 @@
 import mastdrift.settings.AddressRange;
 import mastdrift.radius.Code;
 import mastdrift.radius.Packet;
+import mastdrift.radius.ServerInstance;
 import mastdrift.radius.DuplicateCache;
 import mastdrift.standin.Effects;
 import mastdrift.standin.LossyRelay;
@@ -241,6 +246,18 @@
         }, "accounting request fails in time");
     }
 
+    /** Waits until one request of a class has been refused or has failed. */
+    private void awaitEnded(String className) throws InterruptedException {
+        await(() -> {
+            try {
+                return onLoop(() -> ledger.serviceCount().forClass(className).refused() + ledger.serviceCount().forClass(className)
+                        .failed()) == 1;
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }, "refused or failed at once");
+    }
+
     private long dropCount(DropCounters.Cause cause) throws Exception {
         return onLoop(() -> dropCounters.count(cause));
     }
@@ -372,18 +389,32 @@
         listServers(new String(state, StandardCharsets.US_ASCII).split(" ")[0]);
         send(socket, clientAuthenticators.signRequest(new Packet(Code.ACCESS_REQUEST, 2, authenticator(2),
                 List.of(new Attribute(Attribute.STATE, state)))).encode());
-        await(() -> {
-            try {
-                return onLoop(() -> ledger.serviceCount().forClass("conversation").refused() + ledger.serviceCount().forClass("conversation")
-                        .failed()) == 1;
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-        }, "refused or failed at once");
+        awaitEnded("conversation");
         assertNoFurtherPacket(socket);
         assertEquals(1, servers.stream().mapToLong(StandInRadiusServer::runs).sum());
     }
 
+    /** Guards against a conversation that goes on with a new process at its server's address, which rejects a valid user. */
+    @Test
+    void conversationOfRestartedServerIsNotSentToItsSuccessor() throws Exception {
+        StandInRadiusServer server = startServer("one", 1_000);
+        Member restarted = new Member(new Host("one", "a", 0, "", 1, Health.UP, 9), new InetSocketAddress("127.0.0.1", server.port()));
+        EndpointGate gate = new EndpointGate();
+        gate.apply(1, true, List.of(restarted));
+        BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+        for (long startOfConversation : new long[] {0, 9}) {
+            onLoop(() -> {
+                RadiusTransport transport = new RadiusTransport(loop, clock::now, uid -> SERVER_SECRET, dropCounters);
+                transport.update(true, List.of(restarted));
+                return transport.send(gate.find("one"), new RadiusRequestMessage(accessRequest(1), clientAuthenticators,
+                        new ServerInstance("one", startOfConversation)), 4_000_000, 4_000_000, (outcome, response, report) -> outcomes.add(outcome));
+            });
+        }
+        assertEquals(Outcome.UNUSED, outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(Outcome.DELIVERED, outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(1, server.runs());
+    }
+
     /**
      * Three servers, one slow and one draining, behind networks that lose, duplicate and delay a twentieth of the
      * packets each, in both directions on both sides: every request is answered once, and the counts of clients and
