--- a/review/standin-2/RadiusServer.java
+++ b/review/standin-2/RadiusServer.java
@@ -67,9 +67,14 @@
         socket.send(new DatagramPacket(bytes, bytes.length, to));
     }
 
-    void sendLater(long millis, byte[] bytes, SocketAddress to) {
+    /** What a server does later. */
+    interface Task {
+        void run() throws IOException;
+    }
+
+    void later(long millis, Task task) {
         later.schedule(() -> {
-            send(bytes, to);
+            task.run();
             return null;
         }, millis, TimeUnit.MILLISECONDS);
     }
