Review case 10: a budget across zones is given twice after a restart

Cause: CrossingAccount.receiveTransfer counts a peer's total whole in a new process, though the one before it has spent of it.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 case_folder=$(cd "$(dirname "$0")" && pwd)
 cd "$case_folder/../.." || exit 2
 [ -f target/mastdrift.jar ] && [ -d target/review-2 ] || { echo "not built" > "$case_folder/record.txt"; exit 2; }
-exec java -cp target/review-2 StartBehindCrowd "$case_folder"
+exec java -cp target/review-2 BudgetAfterRestart "$case_folder"
