--- a/review/standin-2/SlowedServer.java
+++ b/review/standin-2/SlowedServer.java
@@ -23,10 +23,11 @@
      * What came of the requests.
      *
      * @param runs the servers that ran each request, once for each time
-     * @param served the requests that a server has answered, to the gateway
+     * @param servedAtNanos when a server first answered each request, to the gateway
+     * @param sentAtNanos when each request's charger sent it first
      * @param answered the requests whose chargers had a response in time
      */
-    record Result(Map<String, List<String>> runs, Set<String> served, Set<String> answered) { }
+    record Result(Map<String, List<String>> runs, Map<String, Long> servedAtNanos, Map<String, Long> sentAtNanos, Set<String> answered) { }
 
     private static final int SERVERS = 4;
     private static final int REQUESTS = 32;
@@ -35,7 +36,7 @@
     private SlowedServer() { }
 
     static Result play(CaseRun run, RadiusGateway.Settings settings, Times times) throws Exception {
-        Result result = new Result(new TreeMap<>(), new TreeSet<>(), new TreeSet<>());
+        Result result = new Result(new TreeMap<>(), new TreeMap<>(), new TreeMap<>(), new TreeSet<>());
         RadiusServer.Handler handler = (server, packet, from, atNanos) -> {
             String request = packet.text(RadiusPacket.USER_NAME);
             if (server.seen.putIfAbsent(from + "/" + packet.identity(), new byte[0]) != null) {
@@ -52,7 +53,7 @@
             server.later(times.serverMillis * (slowed ? times.slowFactor : 1), () -> {
                 run.log(server.name + ": answers " + request);
                 synchronized (result) {
-                    result.served.add(request);
+                    result.servedAtNanos.putIfAbsent(request, System.nanoTime());
                 }
                 server.send(response, from);
             });
@@ -66,6 +67,9 @@
         List<Future<RadiusPacket>> responses = new ArrayList<>();
         for (int i = 0; i < REQUESTS; i++) {
             String card = "card-" + i;
+            synchronized (result) {
+                result.sentAtNanos.put(card, System.nanoTime());
+            }
             responses.add(chargers.submit(() -> {
                 try (Charger charger = new Charger(run, "charger of " + card, RadiusGateway.CLIENT_SECRET, port)) {
                     return charger.exchange(RadiusPacket.ACCESS_REQUEST, List.of(RadiusPacket.Attribute.text(RadiusPacket.USER_NAME, card),
