Review case 9: play it at the size that the site names for nine gateways

Cause: today's 11 hosts and two gateways in the settings stood beside nine gateways that call. Change: 40 hosts, nine gateways, 300 requests a second at this one.

--- a/review/standin-2/DrainBehindCrowd.java
+++ b/review/standin-2/DrainBehindCrowd.java
@@ -8,7 +8,10 @@
  */
 public final class DrainBehindCrowd {
 
-    private static final int HOSTS = 11;
+    private static final int HOSTS = 40;
+    // 2,800 requests a second over nine gateways
+    private static final int PER_SECOND = 300;
+    private static final int CLIENTS = 50;
     private static final long TOLD_WITHIN_MILLIS = 6_000;
     private static final long SLACK_MILLIS = 50;
 
@@ -30,7 +33,7 @@
             Path config = PlatformConfig.write(run, "n1", port, discovery.port(), discovery.list());
             Process gateway = run.startGateway("n1", port, discovery.port(), config);
             run.awaitReady(port);
-            StatusClients clients = new StatusClients(run, port, 60);
+            StatusClients clients = new StatusClients(run, port, PER_SECOND, CLIENTS);
             Thread.sleep(6_000);
             if (run.trouble) {
                 discovery.resetWatches();
--- a/review/standin-2/PlatformConfig.java
+++ b/review/standin-2/PlatformConfig.java
@@ -1,7 +1,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 
-/** The configuration of a gateway on the platform: norte-recarga at today's size. */
+/** The configuration of a gateway on the platform: norte-recarga at the size to come, with nine gateways. */
 final class PlatformConfig {
 
     static final long DRAIN_GRACE_MILLIS = 250;
@@ -17,7 +17,7 @@
                  "settings":{
                   "allowed":{"cancel":true,"conn_idle":5000000,"cpu_us_per_s":15000,"dial_timeout":150000,"max_attempts":4,"max_open":20000,
                    "max_retry_after":2000000,"may_tell":false,"parallel_tries":true,"probes":true,"retry_after":false,"streams_per_conn":1},
-                  "balancers":2,
+                  "balancers":9,
                   "classes":[
                    {"name":"charger-status","target":300000,"deadline":1500000,"credit":1.0,"late_share":0.5,"repeat":"read_like","group":"all","dedup_window":5000000},
                    {"name":"session-read","target":600000,"deadline":2500000,"credit":1.0,"late_share":0.5,"repeat":"read_like","group":"all","dedup_window":5000000},
--- a/review/standin-2/StatusClients.java
+++ b/review/standin-2/StatusClients.java
@@ -6,7 +6,7 @@
 /** Clients of the class charger-status, each on a connection of its own, at a fixed rate together. */
 final class StatusClients {
 
-    private static final int CLIENTS = 10;
+    private static final int DEFAULT_CLIENTS = 10;
 
     private final CaseRun run;
     private final int port;
@@ -16,11 +16,15 @@
     private volatile boolean stopped;
 
     StatusClients(CaseRun run, int port, long perSecond) {
+        this(run, port, perSecond, DEFAULT_CLIENTS);
+    }
+
+    StatusClients(CaseRun run, int port, long perSecond, int clients) {
         this.run = run;
         this.port = port;
-        pauseMillis = 1_000L * CLIENTS / perSecond;
-        for (int i = 0; i < CLIENTS; i++) {
-            long delay = i * pauseMillis / CLIENTS;
+        pauseMillis = 1_000L * clients / perSecond;
+        for (int i = 0; i < clients; i++) {
+            long delay = i * pauseMillis / clients;
             Thread thread = new Thread(() -> send(delay), "client-" + i);
             thread.setDaemon(true);
             thread.start();
