--- a/review/standin-2/BudgetAfterRestart.java
+++ b/review/standin-2/BudgetAfterRestart.java
@@ -6,12 +6,12 @@
 import java.util.List;
 
 /**
- * Four gateways share a budget for what crosses zones; three give what they don't need to the fourth, which is killed
+ * Six gateways share a budget for what crosses zones; five give what they don't need to the first, which is killed
  * and started again in the middle of the budget's window. Does the budget hold? The pool's hosts are all in the other zone.
  */
 public final class BudgetAfterRestart {
 
-    private static final int GATEWAYS = 4;
+    private static final int GATEWAYS = 6;
     private static final int AMOUNT = 600;  // attempts that may cross in a minute, of all gateways together
     private static final long KILL_AT_SECOND = 28;
     private static final long END_AT_SECOND = 52;
